--- /dev/null
+++ b/gaugehinge/__init__.py
@@ -0,0 +1,1 @@
+"""gaugehinge: a router for fleets of cache servers."""
--- /dev/null
+++ b/gaugehinge/policy.py
@@ -0,0 +1,848 @@
+"""All routing decisions of gaugehinge. One `Router` serves one process and shares nothing with others.
+
+Ask `where(thing, now)` for an operation that came in or whose wait is over, `after(leg, outcome, ...)`
+when a leg ended, `how_long(thing, now)` when the answer was "not yet". Tell it what happened with
+`hear_list`, `hear_peer` and `gone`. `router.errands` are its own standing tasks and go through the same
+calls. The plain types of the interface live in terms.py, the reasons in docs/design.md.
+"""
+
+from __future__ import annotations
+
+import struct
+import zlib
+from bisect import bisect_left, insort
+from collections.abc import Iterable
+
+from xxhash import xxh64_intdigest
+
+from .terms import (
+    Answer,
+    Deployment,
+    Effect,
+    Errand,
+    Group,
+    Leg,
+    Listing,
+    Operation,
+    Outcome,
+    Presence,
+    Purpose,
+    Step,
+    Verdict,
+)
+
+# The ring walk (values of the source unless a reason is given)
+POINTS = 100  # ring points of a cache
+FACTOR = 1.25  # the balance factor: a cache over this times the ready mean is walked past
+LEAST_BOUND = 2.0  # below two in flight a bound would scatter the keys of a quiet router
+HOPS = 10  # caches looked at before the least loaded one is taken
+BUCKET = 0.03  # the occupancy window is five of these
+BUCKETS = 5
+MOST_MULTIPLIER = 5.0  # of relative latency; also the mark of a stuck cache
+LATENCY_KEEP = 0.98  # a bucket: a sparse router needs some seconds of legs for a mean
+STUCK_MEANS = 4.0  # silent for so many mean latencies with legs out: stuck, not quiet
+STUCK_LEAST = 0.1  # and never judged stuck before this
+FADE_CURVE = 2.5
+FADE_WINDOW = 30.0
+
+# Cold caches
+THIN_SHARE = 0.7  # with less than this part of the fleet's share at work, fading caches are lifted
+RATE_KEEP = 0.97  # a bucket: about one second of memory for this router's own rate
+
+# Set-aside
+FAULT_STEP = 0.25  # what one failure adds to the fault mark, of what is left to 1
+LOST_STEP = 0.45  # the same for a connection that failed: two in a row set aside
+FAULT_EASE = 0.85  # what a settled leg leaves of the mark
+FAULT_LIMIT = 0.5
+ASIDE_TIME = 2.0  # a set-aside cache returns after this plus a random part
+ASIDE_CHANCE = 1.0
+MOST_ASIDE = 0.34  # part of the fleet that may be aside at once: the rest would drown
+TRIAL_WINS = 3  # settled legs, one at a time, before a returned cache counts as sound
+
+# The origin
+GATE_START = 4.0  # low after a start: its capacity is not told
+GATE_LEAST = 2.0
+GATE_CUT = 0.75
+GATE_SLOW = 2.0  # smoothed latency over this times its floor means a queue at the origin
+GATE_KEEP = 0.9  # of the smoothed latency, a finished leg
+FLOOR_EPOCH = 15.0  # the latency floor is the least of the last two epochs
+
+# Overload
+BEAT = 0.1  # how often the valve moves
+CALM = 0.3  # mean share of the promised time that a leg may take before the valve closes
+VALVE_RISE = 0.06
+VALVE_FALL = 0.02
+LATE_KEEP = 0.8  # a beat, of the lateness measured
+
+# Time
+SPARE_TICKS = 3  # kept free before the abandon time, for the answer's own way
+PATIENCE = 0.6  # part of the useful time left that one leg may take while another is possible
+
+# Errands
+ASK_AGAIN = 1.0  # first pause after a failed call to the list; doubles, with a random part
+UNANSWERED = 4.0  # a call with no answer for this long is made again
+MESSAGE_EVERY = 1.0
+PEER_STALE = 5.0  # a peer silent for this long no longer counts
+
+SCALE = float(1 << 64)
+MIX = 0x9E3779B97F4A7C15
+MASK = (1 << 64) - 1
+
+NOTHING = Answer(Verdict.NOTHING)
+WAIT = Answer(Verdict.WAIT)
+FORFEIT = Answer(Verdict.FORFEIT)
+LOST = (Outcome.NOT_CONNECTED, Outcome.BROKEN)
+FAULTS = (Outcome.ERRORED, Outcome.TIMED_OUT, Outcome.UNKNOWN)
+
+
+class Cache:
+    """What this router knows of one server. Emptied when the server starts anew or leaves the list."""
+
+    __slots__ = (
+        "ident", "zone", "cell", "started", "presence", "points", "salt", "out", "buckets", "busy", "load",
+        "multiplier", "delay", "finished", "quiet_since", "fault", "aside_until", "trial", "share",
+        "capacity", "tokens", "origin",
+    )
+
+    def __init__(self, listing: Listing, origin: bool, now: float) -> None:
+        self.ident = listing.ident
+        self.zone = listing.zone
+        self.cell = listing.cell
+        self.started = listing.started
+        self.presence = listing.presence
+        self.origin = origin
+        self.points = [] if origin else [xxh64_intdigest(b"%d-%d" % (self.ident, i)) for i in range(POINTS)]
+        self.salt = xxh64_intdigest(b"fade-%d" % self.ident)
+        self.out = 0
+        self.buckets = [0.0] * BUCKETS
+        self.busy = 0.0
+        self.load = 0.0
+        self.multiplier = 1.0
+        self.delay = 0.0  # decayed sum of finished legs' times
+        self.finished = 0.0  # decayed count of them
+        self.quiet_since = now
+        self.fault = 0.0
+        self.aside_until = 0.0
+        self.trial = 0  # settled legs still wanted, one at a time
+        self.share = 1.0  # of its keys, while it fades in
+        self.capacity = 1.0  # the least it is stated to have by now
+        self.tokens = 1.0
+
+
+class Gate:
+    """The limit of this router's legs at the origin, and the operations that wait for a place."""
+
+    __slots__ = ("limit", "out", "smooth", "floor", "next_floor", "epoch", "cut_after", "queue", "tight")
+
+    def __init__(self) -> None:
+        self.limit = GATE_START
+        self.out = 0
+        self.smooth = 0.0
+        self.floor = 0.0
+        self.next_floor = 0.0
+        self.epoch = 0.0
+        self.cut_after = 0.0
+        self.queue: list[tuple[float, int, Operation]] = []  # an entry leaves on release or give-up
+        self.tight = False
+
+    def learn(self, elapsed: float, failed: bool, used: bool, now: float) -> None:
+        """A leg at the origin ended: move the limit by what it shows of a queue there."""
+        self.smooth = elapsed if not self.smooth else GATE_KEEP * self.smooth + (1 - GATE_KEEP) * elapsed
+        if now >= self.epoch:
+            self.floor, self.next_floor = self.next_floor or self.smooth, self.smooth
+            self.epoch = now + FLOOR_EPOCH
+        self.next_floor = min(self.next_floor, self.smooth)
+        self.floor = min(self.floor, self.smooth)
+        if failed or self.smooth > GATE_SLOW * self.floor:
+            if now >= self.cut_after:
+                self.limit = max(GATE_LEAST, self.limit * GATE_CUT)
+                self.cut_after = now + self.smooth
+        elif used:
+            self.limit += 2.0 / self.limit
+
+
+class Router:
+    """The decisions of one router."""
+
+    def __init__(self, deployment: Deployment, now: float) -> None:
+        self.deployment = deployment
+        self.log: list[str] = []  # emptied by the door after each call
+        self.caches: dict[int, Cache] = {}  # follows the list
+        self.origin: Cache | None = None
+        self.gate = Gate()
+        self.fetches: dict[bytes, list[Operation]] = {}  # a key leaves when its fetch ends
+        self.points: list[int] = []
+        self.owners: list[Cache] = []
+        self.ready: list[Cache] = []  # up and not aside, in ring order of ids
+        self.total = 0.0
+        self.width = 1.0  # sum of the ready shares
+        self.mean_delay = 0.0
+        self.next_bucket = now
+        self.bucket = 0
+        self.rate = 0.0  # own legs to caches a second
+        self.sent_lately = 0
+        self.thin = False
+        self.counter = 0
+        self.spare = max(SPARE_TICKS * deployment.tick, 0.005)
+        self.next_beat = now
+        self.valve = 0.0
+        self.lateness = 0.0
+        self.late_sum = 0.0
+        self.late_count = 0
+        rows = len(deployment.traffic_types)
+        self.work = [0.0] * rows  # mean time of a settled leg by traffic type
+        self.asked = [0.0] * (2 * rows)  # decayed arrivals, in share and beyond
+        self.drop = [0.0] * (2 * rows)
+        tenants = len(deployment.tenants)
+        self.used = [0.0] * tenants  # own operations of each tenant a second, smoothed
+        self.came = [0] * tenants
+        self.tokens = [1.0] * tenants
+        self.peers: dict[int, tuple[float, tuple[float, ...]]] = {}  # one entry a peer
+        self.list_heard = False
+        self.list_failures = 0
+        self.errands: list[Errand] = []
+        if deployment.must_ask:
+            self.errands.append(Errand(Purpose.LIST, now))
+        if deployment.may_message and tenants and deployment.routers > 1:
+            self.errands.append(Errand(Purpose.MESSAGE, now + MESSAGE_EVERY * self._chance()))
+
+    # ---------------------------------------------------------------- the three calls
+
+    def where(self, thing: Operation | Errand, now: float) -> Answer:
+        """Where to send this operation, or not yet, or never."""
+        if now >= self.next_bucket:
+            self._turn(now)
+        if isinstance(thing, Errand):
+            return self._run_errand(thing, now)
+        if thing.over:
+            return NOTHING
+        if not thing.seen:
+            return self._admit(thing, now)
+        if thing.joined:
+            self._unjoin(thing)
+        elif not thing.queued:
+            # Freed before its wait was over: its leg is out, and asking again would send a second one.
+            return NOTHING
+        return self._route(thing, now)
+
+    def after(self, leg: Leg, outcome: Outcome, elapsed: float, over: bool, now: float) -> list[Step]:
+        """What to do after this outcome, for its operation and for those that it frees."""
+        if now >= self.next_bucket:
+            self._turn(now)
+        steps: list[Step] = []
+        operation = leg.operation
+        leg.out = False
+        cache = leg.server
+        if cache.origin:
+            self._learn_origin(leg, outcome, elapsed, now)
+        else:
+            self._learn_cache(cache, operation, outcome, elapsed, now)
+        if over:
+            operation.over = True
+        if not operation.over:
+            if outcome.may_have_run and operation.ran_at is None:
+                operation.ran_at, operation.ran_since = cache, leg.sent
+            steps.append((operation, self._next(operation, leg, outcome, now)))
+        if cache.origin:
+            if not operation.write:
+                self._end_fetch(operation, outcome is Outcome.SETTLED, steps, now)
+            self._release(steps, now)
+        return steps
+
+    def how_long(self, thing: Operation | Errand, now: float) -> float:
+        """How long to wait before asking again."""
+        if isinstance(thing, Errand):
+            return min(max(thing.due - now, 0.0), 0.5)
+        return max(thing.useful - self.gate.smooth - now, self.deployment.tick)
+
+    # ---------------------------------------------------------------- notices
+
+    def hear_list(self, listings: Iterable[Listing], whole: bool, held: bool, now: float) -> None:
+        """The list or its changes; `held` is the one that this router kept over its restart."""
+        if not held:
+            self.list_heard = True
+            self.list_failures = 0
+        named = set()
+        for listing in listings:
+            named.add(listing.ident)
+            self._hear_server(listing, now)
+        if whole:
+            for ident in [i for i in self.caches if i not in named]:
+                self._remove(self.caches[ident])
+            if self.origin is not None and self.origin.ident not in named:
+                self._remove(self.origin)
+        self._rebuild(now)
+
+    def list_failed(self, now: float) -> None:
+        """A call to the list failed: the last list stays, and the call is made again later."""
+        self.list_heard = False
+        self.list_failures += 1
+        pause = ASK_AGAIN * min(2.0 ** (self.list_failures - 1), 4.0) * (0.5 + self._chance())
+        for errand in self.errands:
+            if errand.purpose is Purpose.LIST:
+                errand.due = now + pause
+        if self.list_failures == 1:
+            self.log.append(f"list call failed, again in {pause:.1f} s")
+
+    def hear_peer(self, number: int, payload: bytes, now: float) -> None:
+        """A peer told its rate of operations for each tenant."""
+        count = len(self.used)
+        if len(payload) == 4 * count:
+            self.peers[number] = (now, struct.unpack(f"<{count}f", payload))
+
+    def gone(self, operation: Operation) -> list[Leg]:
+        """The client left. Returns the legs to call off."""
+        operation.over = True
+        if operation.joined:
+            self._unjoin(operation)
+        if operation.queued:
+            self._leave_queue(operation)
+        if not self.deployment.may_cancel:
+            return []
+        return [leg for leg in operation.legs if leg.out]
+
+    # ---------------------------------------------------------------- the ordinary path: the ring walk
+
+    def _walk(self, operation: Operation, now: float) -> Cache | None:
+        """Clockwise from the key's place, past each cache over the bound."""
+        points = self.points
+        if not points:
+            return None
+        bound = max(LEAST_BOUND, FACTOR * self.total / self.width)
+        key = xxh64_intdigest(operation.key)
+        owners = self.owners
+        start = bisect_left(points, key)
+        passed: list[Cache] = []
+        least = spare = None
+        for i in range(start - len(points), start):
+            cache = owners[i]
+            if cache in passed:
+                continue
+            passed.append(cache)
+            if not self._may_take(cache, operation, key):
+                if cache.share < 1.0 and cache.tokens >= 1.0 and cache not in operation.tried and (
+                    not cache.aside_until and (spare is None or cache.load < spare.load)
+                ) and (operation.ran_at is None or self._drops_repeats(cache, operation)):
+                    spare = cache
+                if len(passed) >= len(self.caches):
+                    break
+                continue
+            if cache.load <= bound:
+                return cache
+            if least is None or cache.load < least.load:
+                least = cache
+            if len(passed) >= HOPS:
+                break
+        return least or spare  # a joining cache within its budget, rather than none
+
+    def _may_take(self, cache: Cache, operation: Operation, key: int) -> bool:
+        """Whether this cache is there for this key at all, whatever its load."""
+        if cache.aside_until or cache in operation.tried or (cache.trial and cache.out):
+            return False
+        if cache.share < 1.0:
+            # The draw is tied to the key: a joining cache warms with the keys that it will keep. Without
+            # tokens the overflow of others' walks, or one hot key, would push a cold cache over.
+            draw = (((key ^ cache.salt) * MIX) & MASK) / SCALE
+            if draw >= cache.share or cache.tokens < 1.0:
+                return False
+        return operation.ran_at is None or self._drops_repeats(cache, operation)
+
+    def _drops_repeats(self, cache: Cache, operation: Operation) -> bool:
+        """Whether a leg here cannot take effect a second time."""
+        traffic = operation.traffic
+        first = operation.ran_at
+        if traffic.effect is Effect.IDEMPOTENT:
+            return True
+        if traffic.effect is not Effect.DEDUPLICATED:
+            return False
+        return (
+            traffic.group is Group.ALL
+            or (traffic.group is Group.ZONE and cache.zone == first.zone)
+            or (traffic.group is Group.CELL and cache.cell == first.cell)
+        )
+
+    def _weigh(self, cache: Cache) -> None:
+        occupancy = cache.busy / (BUCKET * BUCKETS)
+        load = (cache.out if cache.out > occupancy else occupancy) * cache.multiplier
+        if not cache.aside_until:
+            self.total += load - cache.load
+        cache.load = load
+
+    def _turn(self, now: float) -> None:
+        """Once a bucket: slide the window, let old latencies fade, weigh all caches anew."""
+        steps = min(int((now - self.next_bucket) / BUCKET) + 1, BUCKETS)
+        self.next_bucket = max(self.next_bucket + steps * BUCKET, now)
+        keep = LATENCY_KEEP ** steps
+        delay = finished = 0.0
+        for cache in self.caches.values():
+            for n in range(1, steps + 1):
+                slot = (self.bucket + n) % BUCKETS
+                cache.busy -= cache.buckets[slot]
+                cache.buckets[slot] = 0.0
+            cache.delay *= keep
+            cache.finished *= keep
+            delay += cache.delay
+            finished += cache.finished
+        self.bucket = (self.bucket + steps) % BUCKETS
+        self.mean_delay = mean = delay / finished if finished > 0.01 else 0.0
+        span = steps * BUCKET
+        self.rate = RATE_KEEP ** steps * self.rate + (1 - RATE_KEEP ** steps) * self.sent_lately / span
+        self.sent_lately = 0
+        self._return(now)
+        self._fade(now, span)
+        total = width = 0.0
+        silence = max(STUCK_LEAST, STUCK_MEANS * mean)
+        for cache in self.ready:
+            if cache.out and now - cache.quiet_since > silence:
+                cache.multiplier = MOST_MULTIPLIER
+            elif cache.finished > 0.05 and mean:
+                cache.multiplier = min(cache.delay / cache.finished / mean, MOST_MULTIPLIER)
+            else:
+                cache.multiplier = 1.0
+            occupancy = cache.busy / (BUCKET * BUCKETS)
+            cache.load = (cache.out if cache.out > occupancy else occupancy) * cache.multiplier
+            total += cache.load
+            width += cache.share
+        self.total = total
+        self.width = max(width, 0.01)
+        if now >= self.next_beat:
+            self._beat(now)
+
+    # ---------------------------------------------------------------- joins and cold caches
+
+    def _fade(self, now: float, span: float) -> None:
+        """The share of each joining cache, and its budget."""
+        terms = self.deployment
+        fading = []
+        width = 0.0
+        for cache in self.ready:
+            if cache.share < 1.0:
+                age = max(now - cache.started, 0.0)
+                cache.share = min(age / FADE_WINDOW, 1.0) ** FADE_CURVE
+                warm = min(age / terms.cold_time, 1.0) if terms.cold_time else 1.0
+                cache.capacity = terms.cold_from + (1.0 - terms.cold_from) * warm
+                if cache.share < 1.0:
+                    fading.append(cache)
+            width += cache.share
+        if not fading:
+            self._set_thin(False, width)
+            return
+        fair = self.rate / len(self.ready)
+        wanted = THIN_SHARE * len(self.ready)
+        lift = 0.0
+        if width < wanted:
+            # Most of the fleet joins at once: the few others would drown, so the joining ones take
+            # up to what they are stated to bear.
+            room = sum(max(c.capacity - c.share, 0.0) for c in fading)
+            lift = min((wanted - width) / room, 1.0) if room else 0.0
+        for cache in fading:
+            cache.share += lift * max(cache.capacity - cache.share, 0.0)
+            most = max(1.0, fair * cache.capacity * terms.fall_time * 0.5)
+            cache.tokens = min(cache.tokens + max(fair, 0.5) * cache.capacity * span, most)
+        self._set_thin(lift > 0.0, width)
+
+    def _set_thin(self, thin: bool, width: float) -> None:
+        if thin != self.thin:
+            self.thin = thin
+            self.log.append(f"fleet {'thin' if thin else 'whole'}: share {width:.1f} of {len(self.ready)}")
+
+    # ---------------------------------------------------------------- set-aside
+
+    def _learn_cache(
+        self, cache: Cache, operation: Operation, outcome: Outcome, elapsed: float, now: float
+    ) -> None:
+        cache.out -= 1
+        cache.quiet_since = now
+        cache.buckets[self.bucket] += elapsed
+        cache.busy += elapsed
+        if outcome is Outcome.SETTLED:
+            self._learn_settled(cache, operation, elapsed)
+        elif outcome in LOST:
+            self._blame(cache, LOST_STEP, elapsed, now)
+        elif outcome in FAULTS:
+            # A quick error would make its cache look light and draw more keys to it: it counts
+            # against the cache and its time as at least the mean.
+            self._blame(cache, FAULT_STEP, elapsed, now)
+        if outcome is not Outcome.MISSED and outcome is not Outcome.CALLED_OFF:
+            self.late_sum += min(elapsed / operation.traffic.promised, 1.5)
+            self.late_count += 1
+        self._weigh(cache)
+
+    def _learn_settled(self, cache: Cache, operation: Operation, elapsed: float) -> None:
+        # Misses are left out of the mean: they come back at once and would make an empty cache
+        # look like the quickest of all.
+        cache.delay += elapsed
+        cache.finished += 1.0
+        cache.fault *= FAULT_EASE
+        if cache.trial:
+            cache.trial -= 1
+        row = operation.traffic.row
+        self.work[row] += 0.02 * (elapsed - self.work[row]) if self.work[row] else elapsed
+
+    def _blame(self, cache: Cache, step: float, elapsed: float, now: float) -> None:
+        cache.delay += max(elapsed, self.mean_delay)
+        cache.finished += 1.0
+        cache.fault += step * (1.0 - cache.fault)
+        if cache.aside_until or (cache.fault < FAULT_LIMIT and not cache.trial):
+            return
+        aside = sum(1 for c in self.caches.values() if c.aside_until)
+        if cache.presence is not Presence.UP or (aside + 1) > MOST_ASIDE * len(self.caches):
+            return  # never the whole fleet: what fails everywhere is no fault of one cache
+        cache.aside_until = now + ASIDE_TIME + ASIDE_CHANCE * self._chance()
+        self.log.append(f"cache {cache.ident} aside: fault {cache.fault:.2f}, {aside + 1} aside")
+        self._choose_ready()
+
+    def _return(self, now: float) -> None:
+        back = [c for c in self.caches.values() if c.aside_until and now >= c.aside_until]
+        for cache in back:
+            cache.aside_until = 0.0
+            cache.fault = FAULT_LIMIT / 2
+            cache.trial = TRIAL_WINS
+            cache.delay = cache.finished = 0.0
+            self.log.append(f"cache {cache.ident} back on trial")
+        if back:
+            self._choose_ready()
+
+    # ---------------------------------------------------------------- the list
+
+    def _hear_server(self, listing: Listing, now: float) -> None:
+        known = self.caches.get(listing.ident)
+        origin = listing.kind == self.deployment.origin_kind
+        if origin and self.origin is not None and self.origin.ident == listing.ident:
+            known = self.origin
+        if listing.presence is Presence.GONE:
+            if known is not None:
+                self._remove(known)
+            return
+        if known is None or listing.started > known.started:
+            if known is not None:
+                self._remove(known)
+            known = Cache(listing, origin, now)
+            age = now - listing.started
+            if listing.started and age < max(FADE_WINDOW, self.deployment.cold_time):
+                known.share = 0.0
+            if origin:
+                self.origin = known
+            else:
+                self.caches[listing.ident] = known
+        known.presence = listing.presence
+
+    def _remove(self, cache: Cache) -> None:
+        cache.presence = Presence.GONE
+        if cache is self.origin:
+            self.origin = None
+        elif self.caches.get(cache.ident) is cache:
+            del self.caches[cache.ident]
+
+    def _rebuild(self, now: float) -> None:
+        up = [c for c in self.caches.values() if c.presence is Presence.UP]
+        ring = sorted((p, c.ident) for c in up for p in c.points)
+        self.points = [p for p, _ in ring]
+        self.owners = [self.caches[ident] for _, ident in ring]
+        self._choose_ready()
+        self._fade(now, 0.0)
+
+    def _choose_ready(self) -> None:
+        self.ready = [
+            self.caches[i] for i in sorted(self.caches)
+            if self.caches[i].presence is Presence.UP and not self.caches[i].aside_until
+        ]
+        self.total = sum(c.load for c in self.ready)
+        self.width = max(sum(c.share for c in self.ready), 0.01)
+
+    # ---------------------------------------------------------------- admission under overload
+
+    def _admit(self, operation: Operation, now: float) -> Answer:
+        """A new operation: its times, its place within the shares, and whether the valve lets it in."""
+        operation.seen = True
+        traffic = operation.traffic
+        operation.prompt = operation.arrived + traffic.promised
+        last = operation.abandon - self.spare
+        operation.useful = last if traffic.late_payoff else min(last, operation.prompt - self.spare)
+        place = 2 * traffic.row + self._beyond_share(operation)
+        self.asked[place] += 1.0
+        if self.drop[place] and self._chance() < self.drop[place]:
+            return self._give_up(operation)
+        return self._route(operation, now)
+
+    def _beyond_share(self, operation: Operation) -> int:
+        tenant = operation.tenant
+        if tenant < 0:
+            return 0
+        self.came[tenant] += 1
+        if self.tokens[tenant] >= 1.0:
+            self.tokens[tenant] -= 1.0
+            return 0
+        return 1
+
+    def _beat(self, now: float) -> None:
+        """The valve: closes while legs take too much of the promised time, lowest payoff first."""
+        self.next_beat = now + BEAT
+        self._share_out(now)
+        if self.late_count:
+            self.lateness = LATE_KEEP * self.lateness + (1 - LATE_KEEP) * self.late_sum / self.late_count
+            self.late_sum, self.late_count = 0.0, 0
+        else:
+            self.lateness *= LATE_KEEP
+        before = self.valve
+        over = self.lateness / CALM - 1.0
+        self.valve += VALVE_RISE * min(over, 1.0) if over > 0.0 else VALVE_FALL * over
+        self.valve = min(max(self.valve, 0.0), 0.95)
+        if bool(before) != bool(self.valve):
+            state = "closing" if self.valve else "open"
+            self.log.append(f"valve {state}: legs take {self.lateness:.2f} of the promised time")
+        self._set_drops()
+
+    def _set_drops(self) -> None:
+        work = self.work
+        self.asked = [a * 0.95 for a in self.asked]
+        if not self.valve:
+            if any(self.drop):
+                self.drop = [0.0] * len(self.drop)
+            return
+        weight = [a * (work[i // 2] or 1.0) for i, a in enumerate(self.asked)]
+        left = self.valve * sum(weight)
+        for i in sorted(range(len(weight)), key=self._worth):
+            part = min(left / weight[i], 1.0) if weight[i] > 0.0 else 0.0
+            self.drop[i] = part
+            left -= part * weight[i]
+
+    def _worth(self, place: int) -> tuple[float, int]:
+        traffic = self.deployment.traffic_types[place // 2]
+        worth = traffic.payoff * (self.deployment.beyond_share if place % 2 else 1.0)
+        if not self.deployment.payoff_by_work:
+            worth /= self.work[traffic.row] or 1.0
+        return worth, place
+
+    def _share_out(self, now: float) -> None:
+        """Refill each tenant's tokens: its allowance, cut to the part that comes through this router."""
+        tenants = self.deployment.tenants
+        if not tenants:
+            return
+        for i, count in enumerate(self.came):
+            self.used[i] += 0.05 * (count / BEAT - self.used[i])
+            self.came[i] = 0
+        heard = [rates for at, rates in self.peers.values() if now - at < PEER_STALE]
+        own = sum(self.used)
+        for i, tenant in enumerate(tenants):
+            if heard:
+                everywhere = self.used[i] + sum(rates[i] for rates in heard)
+                refill = tenant.allowance * (self.used[i] / everywhere if everywhere else 1.0)
+            else:
+                refill = 1.25 * tenant.share * own
+            self.tokens[i] = min(self.tokens[i] + refill * BEAT, max(2.0, refill))
+
+    # ---------------------------------------------------------------- routing, retries, the origin
+
+    def _route(self, operation: Operation, now: float) -> Answer:
+        if now >= operation.useful or len(operation.legs) >= self.deployment.most_legs:
+            return self._give_up(operation)
+        if self.deployment.aside and (operation.wants_origin or operation.write):
+            return self._ask_origin(operation, now)
+        cache = self._walk(operation, now)
+        if cache is None:
+            return self._give_up(operation)
+        if cache.share < 1.0:
+            cache.tokens -= 1.0
+        if not cache.out:
+            cache.quiet_since = now
+        cache.out += 1
+        self.sent_lately += 1
+        self._weigh(cache)
+        return self._send(operation, cache, self._patience(operation, now), now)
+
+    def _patience(self, operation: Operation, now: float) -> float:
+        """The time-out of a leg: room is left for another where one may follow."""
+        left = operation.useful - now
+        if operation.traffic.effect is not Effect.IDEMPOTENT or len(operation.legs) + 2 > (
+            self.deployment.most_legs
+        ):
+            return left
+        usual = self.work[operation.traffic.row] or self.mean_delay
+        first = PATIENCE * (min(operation.prompt, operation.useful) - now)
+        if first < 3.0 * usual or first + usual > left:
+            return left
+        return first
+
+    def _send(self, operation: Operation, cache: Cache, time_out: float, now: float) -> Answer:
+        leg = Leg(operation, cache, len(operation.legs), now)
+        operation.legs.append(leg)
+        operation.tried.append(cache)
+        return Answer(Verdict.SEND, leg, max(time_out, 0.001))
+
+    def _next(self, operation: Operation, leg: Leg, outcome: Outcome, now: float) -> Answer:
+        """After a leg that did not settle its operation."""
+        if outcome is Outcome.MISSED and not leg.server.origin:
+            operation.wants_origin = True
+            waiting = self.fetches.get(operation.key)
+            if waiting is not None and not operation.write:
+                # A fetch for this key is out: a second one would only load the origin.
+                waiting.append(operation)
+                operation.joined = True
+                return WAIT
+            return self._route(operation, now)
+        if outcome in (Outcome.CALLED_OFF, Outcome.NEVER_SENT) or leg.server.origin:
+            # A full origin is not asked again for a read: repeats are what keeps it full.
+            full = outcome in (Outcome.TURNED_AWAY, Outcome.TIMED_OUT) and not operation.write
+            if full or now + self.gate.smooth > operation.useful:
+                return self._give_up(operation)
+        if operation.ran_at is not None and not self._may_repeat(operation, now):
+            return self._give_up(operation)
+        usual = self.work[operation.traffic.row] or self.mean_delay
+        if now + usual > operation.useful:
+            return self._give_up(operation)  # another leg would not end in time
+        return self._route(operation, now)
+
+    def _may_repeat(self, operation: Operation, now: float) -> bool:
+        traffic = operation.traffic
+        if traffic.effect is Effect.IDEMPOTENT:
+            return True
+        if traffic.effect is Effect.UNREPEATABLE:
+            return False
+        # The repeat must arrive while the first is remembered: the margin is its way there.
+        return now + 0.5 < operation.ran_since + traffic.memory
+
+    def _ask_origin(self, operation: Operation, now: float) -> Answer:
+        """A place at the origin now, a place in the queue if it is likely to come in time, or none."""
+        origin = self.origin
+        gate = self.gate
+        if origin is None or origin.presence is not Presence.UP:
+            return self._give_up(operation)
+        if operation.ran_at is not None and not self._drops_repeats(origin, operation):
+            return self._give_up(operation)
+        if operation.queued:
+            if now + gate.smooth < operation.useful:
+                return WAIT
+            self._leave_queue(operation)
+            return self._give_up(operation)
+        rank = self._rank(operation)
+        if gate.out < gate.limit and (not gate.queue or rank < gate.queue[0][0]):
+            return self._to_origin(operation, now)
+        ahead = bisect_left(gate.queue, (rank,))
+        wait = (ahead + 1) / gate.limit * gate.smooth + gate.smooth
+        if now + wait > min(operation.prompt, operation.useful):
+            return self._give_up(operation)
+        self._queue(operation, rank)
+        return WAIT
+
+    def _rank(self, operation: Operation) -> float:
+        """Writes first, then by payoff."""
+        return -operation.traffic.payoff - (1e6 if operation.write else 0.0)
+
+    def _to_origin(self, operation: Operation, now: float) -> Answer:
+        self.gate.out += 1
+        if not operation.write:
+            self.fetches.setdefault(operation.key, [])
+        return self._send(operation, self.origin, operation.useful - now, now)
+
+    def _learn_origin(self, leg: Leg, outcome: Outcome, elapsed: float, now: float) -> None:
+        gate = self.gate
+        gate.out -= 1
+        if outcome in (Outcome.CALLED_OFF, Outcome.NEVER_SENT):
+            return
+        before = gate.limit
+        gate.learn(elapsed, outcome is not Outcome.SETTLED, gate.out + 1 >= 0.5 * gate.limit, now)
+        tight = gate.limit < before or (gate.tight and gate.limit < 2 * GATE_START)
+        if tight != gate.tight:
+            gate.tight = tight
+            self.log.append(
+                f"origin {'tight' if tight else 'easy'}: limit {gate.limit:.1f}, latency {gate.smooth:.3f} s"
+                f" over a floor of {gate.floor:.3f} s"
+            )
+
+    def _end_fetch(self, operation: Operation, stored: bool, steps: list[Step], now: float) -> None:
+        """The fetch for a key ended: those that waited go to the cache that now holds it.
+
+        After a failed fetch one of them fetches in its place; all at once would pile up at the origin.
+        """
+        if steps and steps[0][1].verdict in (Verdict.SEND, Verdict.WAIT) and not operation.over:
+            return  # the same operation fetches again
+        waiting = self.fetches.pop(operation.key, [])
+        while waiting:
+            waiter = waiting.pop(0)
+            waiter.joined = False
+            if waiter.over:
+                continue
+            waiter.wants_origin = not stored
+            waiter.tried.clear()
+            answer = self._route(waiter, now)
+            steps.append((waiter, answer))
+            if not stored and answer.verdict in (Verdict.SEND, Verdict.WAIT):
+                self.fetches.setdefault(operation.key, []).extend(waiting)
+                return
+
+    def _unjoin(self, operation: Operation) -> None:
+        waiting = self.fetches.get(operation.key)
+        if waiting is not None and operation in waiting:
+            waiting.remove(operation)
+        operation.joined = False
+
+    def _leave_queue(self, operation: Operation) -> None:
+        """Out of the queue; one that waits for the same key takes over, or it would wait for nothing."""
+        gate = self.gate
+        gate.queue = [entry for entry in gate.queue if entry[2] is not operation]
+        operation.queued = False
+        if operation.write:
+            return
+        waiting = self.fetches.get(operation.key, [])
+        if not waiting:
+            self.fetches.pop(operation.key, None)
+            return
+        heir = waiting.pop(0)
+        heir.joined = False
+        self._queue(heir, self._rank(heir))
+
+    def _queue(self, operation: Operation, rank: float) -> None:
+        self.counter += 1
+        insort(self.gate.queue, (rank, self.counter, operation))
+        operation.queued = True
+        if not operation.write:
+            self.fetches.setdefault(operation.key, [])
+
+    def _release(self, steps: list[Step], now: float) -> None:
+        gate = self.gate
+        while gate.queue and gate.out < gate.limit:
+            operation = gate.queue[0][2]
+            origin = self.origin
+            if origin is None or origin.presence is not Presence.UP or now >= operation.useful:
+                self._leave_queue(operation)
+                steps.append((operation, self._give_up(operation)))
+                continue
+            del gate.queue[0]
+            operation.queued = False
+            steps.append((operation, self._to_origin(operation, now)))
+
+    # ---------------------------------------------------------------- giving up
+
+    def _give_up(self, operation: Operation) -> Answer:
+        """The final answer at once: a bounce where a repeat by the client does no harm, else a forfeit."""
+        operation.over = True
+        traffic = operation.traffic
+        if operation.ran_at is not None and (
+            traffic.effect is Effect.UNREPEATABLE
+            or (traffic.effect is Effect.DEDUPLICATED and traffic.group is not Group.ALL)
+        ):
+            return FORFEIT
+        longest = self.deployment.longest_come_back
+        if not longest:
+            return Answer(Verdict.BOUNCE)
+        away = longest * (0.5 + 0.5 * self._chance()) if self.valve else 0.1 + 0.2 * self._chance()
+        return Answer(Verdict.BOUNCE, None, min(away, longest))
+
+    # ---------------------------------------------------------------- errands and chance
+
+    def _run_errand(self, errand: Errand, now: float) -> Answer:
+        if now < errand.due:
+            return WAIT
+        if errand.purpose is Purpose.MESSAGE:
+            errand.due = now + MESSAGE_EVERY * (0.9 + 0.2 * self._chance())
+            return Answer(Verdict.TELL, None, 0.0, struct.pack(f"<{len(self.used)}f", *self.used))
+        if self.list_heard:
+            errand.due = now + UNANSWERED
+            return WAIT
+        errand.due = now + UNANSWERED
+        return Answer(Verdict.FOLLOW)
+
+    def _chance(self) -> float:
+        self.counter += 1
+        return zlib.crc32(b"%d:%d" % (self.deployment.seed, self.counter)) / 4294967296.0
--- /dev/null
+++ b/gaugehinge/terms.py
@@ -0,0 +1,186 @@
+"""The interface of the decision module as plain types.
+
+Times are float seconds. Objects point to each other; an `ident` is only what the door calls a thing.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import NamedTuple
+
+
+class Effect(Enum):
+    """What a repeat of an operation does."""
+
+    IDEMPOTENT = auto()
+    DEDUPLICATED = auto()
+    UNREPEATABLE = auto()
+
+
+class Group(Enum):
+    """The cache servers that drop each other's repeats of a deduplicated operation."""
+
+    ALL = auto()
+    ZONE = auto()
+    CELL = auto()
+
+
+class Outcome(Enum):
+    """How a leg ended. The value tells whether it may have run."""
+
+    SETTLED = ("settled", True)
+    ERRORED = ("errored", True)
+    TIMED_OUT = ("timed out", True)
+    BROKEN = ("broken", True)
+    CALLED_OFF = ("called off", True)
+    UNKNOWN = ("unknown", True)
+    TURNED_AWAY = ("turned away", False)
+    NOT_CONNECTED = ("not connected", False)
+    NEVER_SENT = ("never sent", False)
+    MISSED = ("missed", False)
+
+    def __init__(self, label: str, may_have_run: bool) -> None:
+        self.label = label
+        self.may_have_run = may_have_run
+
+
+class Presence(Enum):
+    """What the list says of a server."""
+
+    UP = auto()
+    DRAINING = auto()
+    GONE = auto()
+
+
+class Verdict(Enum):
+    """What to do with an operation or an errand."""
+
+    SEND = auto()
+    WAIT = auto()
+    BOUNCE = auto()
+    FORFEIT = auto()
+    NOTHING = auto()
+    FOLLOW = auto()
+    TELL = auto()
+
+
+class Purpose(Enum):
+    """What an errand of the module's own is for."""
+
+    LIST = auto()
+    MESSAGE = auto()
+
+
+@dataclass(slots=True, frozen=True)
+class TrafficType:
+    """One row of the table of traffic types: what differs between them."""
+
+    row: int
+    effect: Effect
+    group: Group
+    memory: float  # how long repeats of a deduplicated operation are dropped
+    promised: float
+    payoff: float
+    late_payoff: float  # portion of the payoff for an answer after the promised time
+
+
+@dataclass(slots=True, frozen=True)
+class Tenant:
+    """One tenant and what it may use of the service."""
+
+    share: float
+    allowance: float  # operations a second over all routers
+
+
+@dataclass(slots=True, frozen=True)
+class Deployment:
+    """What a router is told once, at its start."""
+
+    seed: int
+    number: int  # of this router among its peers
+    routers: int
+    traffic_types: tuple[TrafficType, ...]
+    tenants: tuple[Tenant, ...]
+    aside: bool  # a miss comes back to the router, which asks the origin itself
+    origin_kind: str | None
+    tick: float
+    most_legs: int
+    drain_grace: float
+    cold_from: float
+    cold_time: float
+    fall_time: float
+    ask_within: float
+    may_cancel: bool
+    may_message: bool
+    must_ask: bool  # the list answers only when asked
+    longest_come_back: float  # 0 where clients are not told when to come back
+    beyond_share: float
+    payoff_by_work: bool
+
+
+class Listing(NamedTuple):
+    """One server as the list has it."""
+
+    ident: int
+    zone: str
+    kind: str
+    cell: int
+    presence: Presence
+    started: float  # 0: long ago
+
+
+@dataclass(slots=True, eq=False)
+class Operation:
+    """One try of a client. The upper part is the door's, the lower the module's."""
+
+    ident: str
+    traffic: TrafficType
+    key: bytes
+    tenant: int  # place in the table of tenants, -1 without
+    write: bool
+    repeat: bool
+    arrived: float
+    abandon: float
+    over: bool = False
+    legs: list[Leg] = field(default_factory=list)
+    seen: bool = False
+    prompt: float = 0.0  # after this an answer earns less or nothing
+    useful: float = 0.0  # after this the operation is given up
+    tried: list = field(default_factory=list)
+    wants_origin: bool = False
+    queued: bool = False
+    joined: bool = False
+    ran_at: object = None  # the server at which it may have run first
+    ran_since: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Leg:
+    """One sending of an operation to one server."""
+
+    operation: Operation
+    server: object
+    number: int
+    sent: float
+    out: bool = True
+
+
+@dataclass(slots=True, eq=False)
+class Errand:
+    """A standing task of the module's own, asked about like an operation."""
+
+    purpose: Purpose
+    due: float = 0.0
+
+
+class Answer(NamedTuple):
+    """What the module says of an operation or an errand."""
+
+    verdict: Verdict
+    leg: Leg | None = None
+    time: float = 0.0  # time-out of the leg, or how long the client should stay away
+    payload: bytes = b""
+
+
+Step = tuple[Operation, Answer]
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,211 @@
+"""Plain cases of the decisions."""
+
+from helper import MARKED, ONCE, ORIGIN, Bench, Outcome, Presence, Tenant, Verdict, origin_row, row
+
+from gaugehinge import policy
+
+
+def homes(bench, keys=300):
+    found = {}
+    for i in range(keys):
+        bench.now += 0.2
+        found[i] = bench.settle(f"key-{i}")
+    return found
+
+
+def test_a_removal_moves_only_the_keys_of_the_removed_cache():
+    bench = Bench()
+    before = homes(bench)
+    bench.hear([row(3, Presence.GONE)], whole=False)
+    after = homes(bench)
+    moved = [k for k in before if before[k] != after[k]]
+    assert moved and all(before[k] == 3 for k in moved)
+
+
+def test_a_full_join_takes_keys_only_for_itself():
+    bench = Bench()
+    before = homes(bench)
+    bench.hear([row(20)], whole=False)
+    after = homes(bench)
+    moved = [k for k in before if before[k] != after[k]]
+    assert 0 < len(moved) < 80 and all(after[k] == 20 for k in moved)
+
+
+def test_a_hot_key_walks_on_past_the_bound_and_comes_home():
+    bench = Bench()
+    home = bench.settle("hot")
+    bench.now += 1
+    legs = [bench.ask("hot")[1].leg for _ in range(12)]
+    assert legs[0].server.ident == home
+    assert len({leg.server.ident for leg in legs}) > 2
+    for leg in legs:
+        bench.end(leg, Outcome.SETTLED, 0.001)
+    bench.now += 1
+    assert bench.settle("hot") == home
+
+
+def test_two_in_flight_stay_at_home_on_a_quiet_router():
+    bench = Bench()
+    first, second = (bench.ask("k")[1].leg for _ in range(2))
+    assert first.server is second.server
+
+
+def test_past_the_hop_cap_the_least_loaded_one_seen_is_taken(monkeypatch):
+    monkeypatch.setattr(policy, "HOPS", 3)
+    bench = Bench()
+    legs = [bench.ask("k")[1].leg for _ in range(9)]
+    for leg in legs[:2]:
+        leg.server.multiplier = 1.0
+    assert len({leg.server.ident for leg in legs}) == 3
+
+
+def test_a_join_fades_in_along_the_curve():
+    bench = Bench()
+    bench.hear([row(20, started=bench.now)], whole=False)
+    shares = []
+    for _ in range(40):
+        bench.now += 1.0
+        bench.settle("any")
+        shares.append(bench.router.caches[20].share)
+    assert shares == sorted(shares) and shares[0] < 0.1 and shares[-1] == 1.0
+    assert abs(shares[14] - (15 / policy.FADE_WINDOW) ** policy.FADE_CURVE) < 0.05
+
+
+def test_a_restarted_router_knows_from_the_list_who_is_cold():
+    bench = Bench()
+    bench.hear([row(20, started=bench.now - 1.0)], held=True)
+    assert bench.router.caches[20].share < 0.5
+
+
+def test_a_miss_goes_to_the_origin_and_a_second_one_waits_for_that_fetch():
+    bench = Bench()
+    one, first = bench.ask("k")
+    two, second = bench.ask("k")
+    to_origin = bench.end(first.leg, Outcome.MISSED)[0][1]
+    assert to_origin.leg.server.ident == ORIGIN
+    assert bench.end(second.leg, Outcome.MISSED)[0][1].verdict is Verdict.WAIT
+    steps = bench.end(to_origin.leg, Outcome.SETTLED, 0.1)
+    assert [(o, a.verdict) for o, a in steps] == [(two, Verdict.SEND)]
+    assert steps[0][1].leg.server is first.leg.server
+    assert not bench.router.fetches
+
+
+def test_a_failed_fetch_is_taken_over_by_one_of_those_that_wait():
+    bench = Bench()
+    legs = [bench.ask("k")[1].leg for _ in range(3)]
+    to_origin = bench.end(legs[0], Outcome.MISSED)[0][1]
+    for leg in legs[1:]:
+        bench.end(leg, Outcome.MISSED)
+    steps = bench.end(to_origin.leg, Outcome.TURNED_AWAY)
+    sent = [a for _, a in steps if a.verdict is Verdict.SEND]
+    assert len(sent) == 1 and sent[0].leg.server.ident == ORIGIN
+
+
+def test_an_unrepeatable_operation_that_may_have_run_is_forfeited_once_and_for_all():
+    bench = Bench()
+    for outcome in (Outcome.ERRORED, Outcome.BROKEN, Outcome.TIMED_OUT, Outcome.UNKNOWN):
+        _, answer = bench.ask(traffic=ONCE)
+        assert bench.end(answer.leg, outcome)[0][1].verdict is Verdict.FORFEIT
+
+
+def test_an_unrepeatable_operation_proven_not_to_have_run_may_go_again():
+    bench = Bench()
+    _, answer = bench.ask(traffic=ONCE)
+    assert bench.end(answer.leg, Outcome.NOT_CONNECTED)[0][1].verdict in (Verdict.SEND, Verdict.BOUNCE)
+
+
+def test_a_deduplicated_repeat_stays_within_the_time_it_is_remembered():
+    bench = Bench()
+    operation, answer = bench.ask(traffic=MARKED, left=30.0)
+    assert bench.end(answer.leg, Outcome.ERRORED)[0][1].verdict is Verdict.SEND
+    bench.now += MARKED.memory
+    step = bench.end(operation.legs[-1], Outcome.ERRORED)[0][1]
+    assert step.verdict is Verdict.BOUNCE and operation.over
+
+
+def test_a_draining_cache_gets_nothing_more_not_even_a_further_leg():
+    bench = Bench(caches=2)
+    _, answer = bench.ask("k")
+    other = 3 - answer.leg.server.ident
+    bench.hear([row(other, Presence.DRAINING)], whole=False)
+    assert bench.end(answer.leg, Outcome.BROKEN)[0][1].verdict is Verdict.BOUNCE
+
+
+def test_a_failed_list_call_empties_nothing_and_is_made_again():
+    bench = Bench(must_ask=True)
+    errand = bench.router.errands[0]
+    bench.router.list_failed(bench.now)
+    assert bench.router.points and bench.router.where(errand, bench.now).verdict is Verdict.WAIT
+    bench.now += bench.router.how_long(errand, bench.now) + 8.0
+    assert bench.router.where(errand, bench.now).verdict is Verdict.FOLLOW
+
+
+def test_quick_errors_set_a_cache_aside_and_it_returns_on_trial():
+    bench = Bench()
+    home = bench.settle("k")
+    for _ in range(6):
+        _, answer = bench.ask("k")
+        if answer.leg.server.ident != home:
+            break
+        bench.end(answer.leg, Outcome.ERRORED, 0.001)
+    assert bench.settle("k") != home
+    bench.now += policy.ASIDE_TIME + policy.ASIDE_CHANCE + 0.1
+    first, second = bench.ask("k")[1].leg, bench.ask("k")[1].leg
+    assert first.server.ident == home and second.server.ident != home
+
+
+def test_the_whole_fleet_is_never_set_aside():
+    bench = Bench()
+    for i in range(200):
+        bench.now += 0.01
+        _, answer = bench.ask(f"key-{i}")
+        if answer.verdict is Verdict.SEND and answer.leg.server.ident != ORIGIN:
+            bench.end(answer.leg, Outcome.NOT_CONNECTED, 0.001)
+    assert len(bench.router.ready) >= 5
+
+
+def test_a_stuck_cache_is_walked_past_but_a_quiet_one_is_not():
+    bench = Bench()
+    home = bench.settle("k")
+    for i in range(20):
+        bench.settle(f"key-{i}")
+    bench.now += 2.0
+    assert bench.settle("k") == home
+    bench.ask("k")
+    bench.now += 1.0
+    assert bench.settle("k") != home
+
+
+def test_without_an_origin_a_miss_is_bounced_at_once():
+    bench = Bench()
+    _, answer = bench.ask("k")
+    bench.hear([origin_row(Presence.DRAINING)], whole=False)
+    assert bench.end(answer.leg, Outcome.MISSED)[0][1].verdict is Verdict.BOUNCE
+
+
+def test_a_whole_cold_fleet_is_not_sent_what_a_warm_one_bears():
+    bench = Bench(caches=4)
+    bench.hear([row(i, started=bench.now) for i in range(11, 15)] + [origin_row()])
+    sent = 0
+    for i in range(400):
+        bench.now += 0.005
+        _, answer = bench.ask(f"key-{i}")
+        if answer.verdict is Verdict.SEND:
+            sent += 1
+            bench.end(answer.leg, Outcome.SETTLED, 0.0)
+    assert 0 < sent < 200
+
+
+def test_beyond_its_share_a_tenant_is_bounced_first_when_legs_run_late():
+    bench = Bench(tenants=(Tenant(0.5, 5.0), Tenant(0.5, 5.0)), beyond_share=0.05)
+    bounced = [0, 0]
+    for i in range(2000):
+        tenant = 0 if i % 8 else 1
+        _, answer = bench.ask(f"key-{i}", tenant=tenant)
+        if answer.verdict is Verdict.SEND:
+            late = 0.6 if bench.router.valve < 0.1 else 0.05
+            bench.router.after(answer.leg, Outcome.SETTLED, late, True, bench.now)
+        else:
+            bounced[tenant] += 1
+        bench.now += 0.005
+    assert bounced[0] > 50 and bounced[1] < 10
--- /dev/null
+++ b/tests/test_random.py
@@ -0,0 +1,152 @@
+"""Seeded random runs: after every step the four rules hold, whatever the fleet does."""
+
+import random
+
+import pytest
+from helper import MARKED, ONCE, ORIGIN, READ, Bench, Outcome, Presence, Tenant, Verdict, origin_row, row
+
+ENDS = [o for o in Outcome if o not in (Outcome.SETTLED, Outcome.MISSED)]
+
+
+class Rules:
+    """A fleet that fails at random, and a check of each answer."""
+
+    def __init__(self, seed: int) -> None:
+        self.dice = random.Random(seed)
+        self.bench = Bench(
+            caches=6, seed=seed, aside=self.dice.random() < 0.8, must_ask=self.dice.random() < 0.5,
+            tenants=(Tenant(0.5, 20.0), Tenant(0.5, 20.0)) if seed % 2 else (), beyond_share=0.1,
+        )
+        self.presence = {i: Presence.UP for i in range(1, 7)}
+        self.started = {}
+        self.open = []
+        self.waiting = {}
+        self.legs = []
+        self.failing = 0.1
+        self.sent_cold = {}
+        self.sent_all = 0
+
+    def check(self, operation, answer) -> None:
+        now = self.bench.now
+        assert operation.ident not in self.finals, "an answer after the final one"
+        if answer.verdict is Verdict.SEND:
+            self.check_leg(operation, answer.leg, now)
+            ends = now + min(self.dice.expovariate(8.0), answer.time)
+            self.legs.append((ends, answer.leg, ends - now >= answer.time))
+        elif answer.verdict is Verdict.WAIT:
+            wait = self.bench.router.how_long(operation, now)
+            assert wait > 0.0
+            self.waiting[operation] = now + wait
+        elif answer.verdict in (Verdict.BOUNCE, Verdict.FORFEIT):
+            assert now <= operation.abandon, "answered after the abandon time"
+            ran = [leg for leg in operation.legs if leg in self.may_have_run]
+            if answer.verdict is Verdict.BOUNCE:
+                assert operation.traffic is not ONCE or not ran, "bounced though it may have run"
+            self.finals.add(operation.ident)
+
+    def check_leg(self, operation, leg, now) -> None:
+        assert len(operation.legs) <= 5
+        assert not [each for each in operation.legs if each.out and each is not leg], "two legs at once"
+        server = leg.server.ident
+        if server != ORIGIN:
+            assert self.presence.get(server) is Presence.UP, "a leg to a draining or gone cache"
+            self.count_cold(server, now)
+        ran = [each for each in operation.legs if each in self.may_have_run]
+        if ran:
+            assert operation.traffic is not ONCE, "an effect twice"
+            if operation.traffic is MARKED:
+                assert now < ran[0].sent + MARKED.memory, "a repeat no longer remembered"
+
+    def count_cold(self, server, now) -> None:
+        """A cold cache gets no more than its capacity's part of what a fair share would be."""
+        self.sent_all += 1
+        age = now - self.started.get(server, -1e9)
+        if age < 5.0:
+            self.sent_cold[server] = self.sent_cold.get(server, 0) + 1
+            fair = 100.0 * age / max(len(self.bench.router.ready), 1)
+            assert self.sent_cold[server] <= 6 + 1.2 * fair, "a cold cache pushed over"
+
+    def run(self, steps: int) -> None:
+        self.finals = set()
+        self.may_have_run = set()
+        for step in range(steps):
+            self.bench.now += self.dice.uniform(0.0, 0.012)
+            if step % 150 == 0:
+                self.failing = self.dice.choice([0.0, 0.1, 0.9])
+            if self.dice.random() < 0.02:
+                self.change_list()
+            self.move_on()
+            if self.dice.random() < 0.03 and self.open:
+                self.leave(self.dice.choice(self.open))
+            traffic = self.dice.choice([READ] * 4 + [MARKED, ONCE])
+            operation, answer = self.bench.ask(
+                f"key-{int(self.dice.paretovariate(0.7)) % 200}", traffic, self.dice.uniform(0.3, 2.0),
+                tenant=self.dice.choice([0, 0, 0, 1]) if self.bench.router.deployment.tenants else -1,
+            )
+            self.open.append(operation)
+            self.check(operation, answer)
+            self.overdue()
+        self.drain_out()
+
+    def drain_out(self) -> None:
+        for _ in range(1200):
+            self.bench.now += 0.005
+            self.move_on()
+            self.overdue()
+        assert not self.open and not self.legs
+        router = self.bench.router
+        assert not router.fetches and not router.gate.queue and not router.gate.out
+        assert all(c.out == 0 for c in router.caches.values())
+
+    def move_on(self) -> None:
+        now = self.bench.now
+        for operation in [o for o, at in self.waiting.items() if at <= now or o.over]:
+            del self.waiting[operation]
+            if not operation.over:
+                self.check(operation, self.bench.router.where(operation, now))
+        due = sorted((leg for leg in self.legs if leg[0] <= now), key=lambda leg: (leg[0], leg[1].sent))
+        self.legs = [leg for leg in self.legs if leg[0] > now]
+        for _, leg, timed_out in due:
+            self.finish(leg, timed_out, now)
+        self.open = [o for o in self.open if not o.over]
+
+    def finish(self, leg, timed_out, now) -> None:
+        outcome = self.dice.choice(ENDS) if self.dice.random() < self.failing else Outcome.SETTLED
+        if leg.server.ident != ORIGIN and self.bench.router.deployment.aside and self.dice.random() < 0.3:
+            outcome = Outcome.MISSED
+        if timed_out:
+            outcome = Outcome.TIMED_OUT
+        if outcome.may_have_run:
+            self.may_have_run.add(leg)
+        over = leg.operation.over or outcome is Outcome.SETTLED
+        if over:
+            self.finals.add(leg.operation.ident)
+        for operation, answer in self.bench.router.after(leg, outcome, now - leg.sent, over, now):
+            self.check(operation, answer)
+
+    def leave(self, operation) -> None:
+        self.finals.add(operation.ident)
+        for leg in self.bench.router.gone(operation):
+            self.legs = [(self.bench.now, each, False) if each is leg else (at, each, late)
+                         for at, each, late in self.legs]
+
+    def overdue(self) -> None:
+        for operation in self.open:
+            assert operation.over or self.bench.now <= operation.abandon + 0.03, "no final answer in time"
+
+    def change_list(self) -> None:
+        ident = self.dice.randint(1, 12)
+        presence = self.dice.choice([Presence.UP, Presence.UP, Presence.DRAINING, Presence.GONE])
+        if self.dice.random() < 0.1 and self.bench.router.deployment.must_ask:
+            self.bench.router.list_failed(self.bench.now)
+            return
+        if presence is Presence.UP and self.presence.get(ident) is not Presence.UP:
+            self.started[ident] = self.bench.now
+            self.sent_cold.pop(ident, None)
+        self.presence[ident] = presence
+        self.bench.hear([row(ident, presence, self.started.get(ident, 0.0)), origin_row()], whole=False)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_the_rules_hold_whatever_fails(seed):
+    Rules(seed).run(1500)
