--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -47,7 +47,7 @@
 
 # Cold caches
 THIN_SHARE = 0.7  # with less than this part of the fleet's share at work, fading caches are lifted
-RATE_KEEP = 0.97  # a bucket: about one second of memory for this router's own rate
+RATE_KEEP = 0.97  # a bucket: about one second of memory for the rate of answered legs
 
 # Set-aside
 FAULT_STEP = 0.25  # what one failure adds to the fault mark, of what is left to 1
@@ -179,8 +179,8 @@
         self.mean_delay = 0.0
         self.next_bucket = now
         self.bucket = 0
-        self.rate = 0.0  # own legs to caches a second
-        self.sent_lately = 0
+        self.rate = 0.0  # legs that caches answered, a second
+        self.answered = 0
         self.thin = False
         self.counter = 0
         self.spare = max(SPARE_TICKS * deployment.tick, 0.005)
@@ -386,8 +386,8 @@
         self.bucket = (self.bucket + steps) % BUCKETS
         self.mean_delay = mean = delay / finished if finished > 0.01 else 0.0
         span = steps * BUCKET
-        self.rate = RATE_KEEP ** steps * self.rate + (1 - RATE_KEEP ** steps) * self.sent_lately / span
-        self.sent_lately = 0
+        self.rate = RATE_KEEP ** steps * self.rate + (1 - RATE_KEEP ** steps) * self.answered / span
+        self.answered = 0
         self._return(now)
         self._fade(now, span)
         total = width = 0.0
@@ -455,6 +455,10 @@
         cache.quiet_since = now
         cache.buckets[self.bucket] += elapsed
         cache.busy += elapsed
+        if outcome is Outcome.SETTLED or outcome is Outcome.MISSED:
+            # Only answered legs measure what a cache can bear: turned-away ones and repeats swell with
+            # an overload and would raise the budget of the cold caches just then.
+            self.answered += 1
         if outcome is Outcome.SETTLED:
             self._learn_settled(cache, operation, elapsed)
         elif outcome in LOST:
@@ -647,7 +651,6 @@
         if not cache.out:
             cache.quiet_since = now
         cache.out += 1
-        self.sent_lately += 1
         self._weigh(cache)
         return self._send(operation, cache, self._patience(operation, now), now)
 
@@ -674,6 +677,8 @@
         """After a leg that did not settle its operation."""
         if outcome is Outcome.MISSED and not leg.server.origin:
             operation.wants_origin = True
+            if len(operation.legs) >= self.deployment.most_legs:
+                return self._give_up(operation)  # no leg is left to end a wait with
             waiting = self.fetches.get(operation.key)
             if waiting is not None and not operation.write:
                 # A fetch for this key is out: a second one would only load the origin.
@@ -711,10 +716,7 @@
         if operation.ran_at is not None and not self._drops_repeats(origin, operation):
             return self._give_up(operation)
         if operation.queued:
-            if now + gate.smooth < operation.useful:
-                return WAIT
-            self._leave_queue(operation)
-            return self._give_up(operation)
+            return WAIT if now + gate.smooth < operation.useful else self._give_up(operation)
         rank = self._rank(operation)
         if gate.out < gate.limit and (not gate.queue or rank < gate.queue[0][0]):
             return self._to_origin(operation, now)
@@ -805,7 +807,6 @@
             operation = gate.queue[0][2]
             origin = self.origin
             if origin is None or origin.presence is not Presence.UP or now >= operation.useful:
-                self._leave_queue(operation)
                 steps.append((operation, self._give_up(operation)))
                 continue
             del gate.queue[0]
@@ -817,6 +818,8 @@
     def _give_up(self, operation: Operation) -> Answer:
         """The final answer at once: a bounce where a repeat by the client does no harm, else a forfeit."""
         operation.over = True
+        if operation.queued:
+            self._leave_queue(operation)  # left in, it would be sent on after its final answer
         traffic = operation.traffic
         if operation.ran_at is not None and (
             traffic.effect is Effect.UNREPEATABLE
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -209,3 +209,25 @@
             bounced[tenant] += 1
         bench.now += 0.005
     assert bounced[0] > 50 and bounced[1] < 10
+
+
+def test_an_operation_given_up_in_the_queue_is_never_sent():
+    bench = Bench(most_legs=2)
+    bench.router.gate.out = 99  # no place is free
+    operations = [bench.ask(f"key-{i}", left=0.5) for i in range(3)]
+    for _, answer in operations:
+        bench.end(answer.leg, Outcome.MISSED)
+    bench.now += 1.0
+    for operation, _ in operations:
+        bench.router.where(operation, bench.now)
+        assert operation.over
+    assert not bench.router.gate.queue
+
+
+def test_turned_away_legs_do_not_raise_the_budget_of_cold_caches():
+    bench = Bench()
+    for i in range(100):
+        bench.now += 0.01
+        _, answer = bench.ask(f"key-{i}")
+        bench.end(answer.leg, Outcome.TURNED_AWAY, 0.001)
+    assert bench.router.rate == 0.0
