--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -59,6 +59,9 @@
 MOST_ASIDE = 0.34  # part of the fleet that may be aside at once: the rest would drown
 TRIAL_WINS = 3  # settled legs, one at a time, before a returned cache counts as sound
 
+FULL_PAUSE = 0.1  # a cache that turned a leg away is passed for about this: some of its queue drains
+MOST_TURNED = 2  # caches that may turn one operation away before it is bounced
+
 # The origin
 GATE_START = 4.0  # low after a start: its capacity is not told
 GATE_LEAST = 2.0
@@ -101,7 +104,7 @@
     __slots__ = (
         "ident", "zone", "cell", "started", "presence", "points", "salt", "out", "buckets", "busy", "load",
         "multiplier", "delay", "finished", "quiet_since", "fault", "aside_until", "trial", "share",
-        "capacity", "tokens", "origin",
+        "capacity", "tokens", "origin", "full_until",
     )
 
     def __init__(self, listing: Listing, origin: bool, now: float) -> None:
@@ -123,6 +126,7 @@
         self.quiet_since = now
         self.fault = 0.0
         self.aside_until = 0.0
+        self.full_until = 0.0
         self.trial = 0  # settled legs still wanted, one at a time
         self.share = 1.0  # of its keys, while it fades in
         self.capacity = 1.0  # the least it is stated to have by now
@@ -308,6 +312,7 @@
         points = self.points
         if not points:
             return None
+        operation.asked = now
         bound = max(LEAST_BOUND, FACTOR * self.total / self.width)
         key = xxh64_intdigest(operation.key)
         owners = self.owners
@@ -339,6 +344,8 @@
         """Whether this cache is there for this key at all, whatever its load."""
         if cache.aside_until or cache in operation.tried or (cache.trial and cache.out):
             return False
+        if cache.full_until > operation.asked:
+            return False
         if cache.share < 1.0:
             # The draw is tied to the key: a joining cache warms with the keys that it will keep. Without
             # tokens the overflow of others' walks, or one hot key, would push a cold cache over.
@@ -461,6 +468,10 @@
             self.answered += 1
         if outcome is Outcome.SETTLED:
             self._learn_settled(cache, operation, elapsed)
+        elif outcome is Outcome.TURNED_AWAY:
+            # Sent on from cache to cache, turned-away legs were most of the work of a full fleet.
+            cache.full_until = now + FULL_PAUSE * (0.5 + self._chance())
+            operation.turned += 1
         elif outcome in LOST:
             self._blame(cache, LOST_STEP, elapsed, now)
         elif outcome in FAULTS:
@@ -468,7 +479,8 @@
             # against the cache and its time as at least the mean.
             self._blame(cache, FAULT_STEP, elapsed, now)
         if outcome is not Outcome.MISSED and outcome is not Outcome.CALLED_OFF:
-            self.late_sum += min(elapsed / operation.traffic.promised, 1.5)
+            turned = outcome is Outcome.TURNED_AWAY
+            self.late_sum += 1.0 if turned else min(elapsed / operation.traffic.promised, 1.5)
             self.late_count += 1
         self._weigh(cache)
 
@@ -694,7 +706,7 @@
         if operation.ran_at is not None and not self._may_repeat(operation, now):
             return self._give_up(operation)
         usual = self.work[operation.traffic.row] or self.mean_delay
-        if now + usual > operation.useful:
+        if now + usual > operation.useful or operation.turned >= MOST_TURNED:
             return self._give_up(operation)  # another leg would not end in time
         return self._route(operation, now)
 
--- a/gaugehinge/terms.py
+++ b/gaugehinge/terms.py
@@ -148,6 +148,8 @@
     prompt: float = 0.0  # after this an answer earns less or nothing
     useful: float = 0.0  # after this the operation is given up
     tried: list = field(default_factory=list)
+    asked: float = 0.0  # when the walk was last asked
+    turned: int = 0  # caches that turned it away
     wants_origin: bool = False
     queued: bool = False
     joined: bool = False
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -229,5 +229,17 @@
     for i in range(100):
         bench.now += 0.01
         _, answer = bench.ask(f"key-{i}")
-        bench.end(answer.leg, Outcome.TURNED_AWAY, 0.001)
+        if answer.leg:
+            bench.end(answer.leg, Outcome.TURNED_AWAY, 0.001)
     assert bench.router.rate == 0.0
+
+
+def test_an_operation_turned_away_twice_is_bounced_and_full_caches_are_passed_for_a_while():
+    bench = Bench()
+    operation, answer = bench.ask("k")
+    home = answer.leg.server.ident
+    second = bench.end(answer.leg, Outcome.TURNED_AWAY, 0.001)[0][1]
+    assert bench.end(second.leg, Outcome.TURNED_AWAY, 0.001)[0][1].verdict is Verdict.BOUNCE
+    assert bench.settle("k", 0.001) not in (home, second.leg.server.ident)
+    bench.now += 2 * policy.FULL_PAUSE
+    assert bench.settle("k") == home
