--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -40,6 +40,7 @@
 BUCKETS = 5
 MOST_MULTIPLIER = 5.0  # of relative latency; also the mark of a stuck cache
 LATENCY_KEEP = 0.98  # a bucket: a sparse router needs some seconds of legs for a mean
+PRIOR = 2.0  # legs at the mean that each cache is credited with: few legs say little, none say 1
 STUCK_MEANS = 4.0  # silent for so many mean latencies with legs out: stuck, not quiet
 STUCK_LEAST = 0.1  # and never judged stuck before this
 FADE_CURVE = 2.5
@@ -121,7 +122,7 @@
         self.busy = 0.0
         self.load = 0.0
         self.multiplier = 1.0
-        self.delay = 0.0  # decayed sum of finished legs' times
+        self.delay = 0.0  # decayed sum of finished legs' times, each over the mean of its traffic type
         self.finished = 0.0  # decayed count of them
         self.quiet_since = now
         self.fault = 0.0
@@ -319,6 +320,7 @@
         start = bisect_left(points, key)
         passed: list[Cache] = []
         least = spare = None
+        least_load = 0.0
         for i in range(start - len(points), start):
             cache = owners[i]
             if cache in passed:
@@ -332,10 +334,11 @@
                 if len(passed) >= len(self.caches):
                     break
                 continue
-            if cache.load <= bound:
+            load = cache.load
+            if load <= bound:
                 return cache
-            if least is None or cache.load < least.load:
-                least = cache
+            if least is None or load < least_load:
+                least, least_load = cache, load
             if len(passed) >= HOPS:
                 break
         return least or spare  # a joining cache within its budget, rather than none
@@ -391,21 +394,20 @@
             delay += cache.delay
             finished += cache.finished
         self.bucket = (self.bucket + steps) % BUCKETS
-        self.mean_delay = mean = delay / finished if finished > 0.01 else 0.0
+        mean = (delay + PRIOR) / (finished + PRIOR)
         span = steps * BUCKET
         self.rate = RATE_KEEP ** steps * self.rate + (1 - RATE_KEEP ** steps) * self.answered / span
         self.answered = 0
         self._return(now)
         self._fade(now, span)
         total = width = 0.0
-        silence = max(STUCK_LEAST, STUCK_MEANS * mean)
+        silence = max(STUCK_LEAST, STUCK_MEANS * self.mean_delay)
         for cache in self.ready:
             if cache.out and now - cache.quiet_since > silence:
                 cache.multiplier = MOST_MULTIPLIER
-            elif cache.finished > 0.05 and mean:
-                cache.multiplier = min(cache.delay / cache.finished / mean, MOST_MULTIPLIER)
             else:
-                cache.multiplier = 1.0
+                relative = (cache.delay + PRIOR * mean) / (cache.finished + PRIOR) / mean
+                cache.multiplier = min(relative, MOST_MULTIPLIER)
             occupancy = cache.busy / (BUCKET * BUCKETS)
             cache.load = (cache.out if cache.out > occupancy else occupancy) * cache.multiplier
             total += cache.load
@@ -487,16 +489,17 @@
     def _learn_settled(self, cache: Cache, operation: Operation, elapsed: float) -> None:
         # Misses are left out of the mean: they come back at once and would make an empty cache
         # look like the quickest of all.
-        cache.delay += elapsed
+        row = operation.traffic.row
+        self.work[row] += 0.02 * (elapsed - self.work[row]) if self.work[row] else max(elapsed, 1e-4)
+        self.mean_delay += 0.02 * (elapsed - self.mean_delay)
+        cache.delay += elapsed / self.work[row]
         cache.finished += 1.0
         cache.fault *= FAULT_EASE
         if cache.trial:
             cache.trial -= 1
-        row = operation.traffic.row
-        self.work[row] += 0.02 * (elapsed - self.work[row]) if self.work[row] else elapsed
 
     def _blame(self, cache: Cache, step: float, elapsed: float, now: float) -> None:
-        cache.delay += max(elapsed, self.mean_delay)
+        cache.delay += max(elapsed / self.mean_delay, 1.0) if self.mean_delay else 1.0
         cache.finished += 1.0
         cache.fault += step * (1.0 - cache.fault)
         if cache.aside_until or (cache.fault < FAULT_LIMIT and not cache.trial):
