--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -65,10 +65,11 @@
 
 # The origin
 GATE_START = 4.0  # low after a start: its capacity is not told
-GATE_LEAST = 2.0
+GATE_LEAST = 4.0  # a slow origin still bears what it bore when quick: fewer legs out only starve it
 GATE_CUT = 0.75
-GATE_SLOW = 2.0  # smoothed latency over this times its floor means a queue at the origin
-GATE_KEEP = 0.9  # of the smoothed latency, a finished leg
+GATE_SLOW = 2.5  # smoothed latency over this times its floor means a queue at the origin,
+GATE_QUEUE = 0.3  # but not before it took this part of the shortest promised time: latencies vary by nature
+GATE_KEEP = 0.95  # of the smoothed latency, a finished leg
 FLOOR_EPOCH = 15.0  # the latency floor is the least of the last two epochs
 
 # Overload
@@ -137,9 +138,12 @@
 class Gate:
     """The limit of this router's legs at the origin, and the operations that wait for a place."""
 
-    __slots__ = ("limit", "out", "smooth", "floor", "next_floor", "epoch", "cut_after", "queue", "tight")
+    __slots__ = (
+        "limit", "out", "smooth", "floor", "next_floor", "epoch", "cut_after", "queue", "tight", "bearable",
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, promised: float) -> None:
+        self.bearable = GATE_QUEUE * promised
         self.limit = GATE_START
         self.out = 0
         self.smooth = 0.0
@@ -158,7 +162,7 @@
             self.epoch = now + FLOOR_EPOCH
         self.next_floor = min(self.next_floor, self.smooth)
         self.floor = min(self.floor, self.smooth)
-        if failed or self.smooth > GATE_SLOW * self.floor:
+        if failed or self.smooth > max(GATE_SLOW * self.floor, self.floor + self.bearable):
             if now >= self.cut_after:
                 self.limit = max(GATE_LEAST, self.limit * GATE_CUT)
                 self.cut_after = now + self.smooth
@@ -174,7 +178,7 @@
         self.log: list[str] = []  # emptied by the door after each call
         self.caches: dict[int, Cache] = {}  # follows the list
         self.origin: Cache | None = None
-        self.gate = Gate()
+        self.gate = Gate(min((t.promised for t in deployment.traffic_types), default=1.0))
         self.fetches: dict[bytes, list[Operation]] = {}  # a key leaves when its fetch ends
         self.points: list[int] = []
         self.owners: list[Cache] = []
@@ -258,7 +262,7 @@
         """How long to wait before asking again."""
         if isinstance(thing, Errand):
             return min(max(thing.due - now, 0.0), 0.5)
-        return max(thing.useful - self.gate.smooth - now, self.deployment.tick)
+        return max(self._latest(thing) - self.gate.smooth - now, self.deployment.tick)
 
     # ---------------------------------------------------------------- notices
 
@@ -731,17 +735,21 @@
         if operation.ran_at is not None and not self._drops_repeats(origin, operation):
             return self._give_up(operation)
         if operation.queued:
-            return WAIT if now + gate.smooth < operation.useful else self._give_up(operation)
+            # Past the point where it could come in time, more waiting only delays the bounce.
+            return WAIT if now + gate.smooth < self._latest(operation) else self._give_up(operation)
         rank = self._rank(operation)
         if gate.out < gate.limit and (not gate.queue or rank < gate.queue[0][0]):
             return self._to_origin(operation, now)
         ahead = bisect_left(gate.queue, (rank,))
         wait = (ahead + 1) / gate.limit * gate.smooth + gate.smooth
-        if now + wait > min(operation.prompt, operation.useful):
+        if now + wait > self._latest(operation):
             return self._give_up(operation)
         self._queue(operation, rank)
         return WAIT
 
+    def _latest(self, operation: Operation) -> float:
+        return min(operation.prompt, operation.useful)
+
     def _rank(self, operation: Operation) -> float:
         """Writes first, then by payoff."""
         return -operation.traffic.payoff - (1e6 if operation.write else 0.0)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -243,3 +243,27 @@
     assert bench.settle("k", 0.001) not in (home, second.leg.server.ident)
     bench.now += 2 * policy.FULL_PAUSE
     assert bench.settle("k") == home
+
+
+def test_uneven_latency_at_the_origin_is_not_taken_for_a_queue():
+    gate = policy.Gate(promised=1.0)
+    for i in range(200):
+        gate.learn(0.05 if i % 5 else 0.6, False, True, 100.0 + i)
+    assert gate.limit > 2 * policy.GATE_START
+
+
+def test_an_operation_that_can_no_longer_come_in_time_does_not_wait_on():
+    bench = Bench()
+    bench.router.gate.out, bench.router.gate.smooth = 4, 0.1
+    operation, answer = bench.ask(traffic=MARKED, left=9.0)
+    assert answer.verdict is Verdict.WAIT
+    bench.now += bench.router.how_long(operation, bench.now) + 0.001
+    assert bench.now < operation.prompt
+    assert bench.router.where(operation, bench.now).verdict is Verdict.BOUNCE
+
+
+def test_the_valve_does_not_bounce_what_goes_to_the_origin_anyway():
+    bench = Bench()
+    bench.router.drop = [1.0] * 6
+    assert bench.ask(traffic=MARKED)[1].verdict is Verdict.SEND
+    assert bench.ask()[1].verdict is Verdict.BOUNCE
