--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -11,6 +11,7 @@
 import struct
 import zlib
 from bisect import bisect_left, insort
+from collections.abc import Iterable
 
 from xxhash import xxh64_intdigest
 
@@ -31,8 +32,7 @@
 )
 
 # The ring walk (values of the source unless a reason is given)
-POINTS = 100  # ring points of a cache of mean size
-LEAST_POINTS, MOST_POINTS = 25, 400  # whatever size the list names
+POINTS = 100  # ring points of a cache
 FACTOR = 1.25  # the balance factor: a cache over this times the ready mean is walked past
 LEAST_BOUND = 2.0  # below two in flight a bound would scatter the keys of a quiet router
 HOPS = 10  # caches looked at before the least loaded one is taken
@@ -109,15 +109,14 @@
         "capacity", "tokens", "origin", "full_until",
     )
 
-    def __init__(self, listing: Listing, origin: bool, size: float, now: float) -> None:
+    def __init__(self, listing: Listing, origin: bool, now: float) -> None:
         self.ident = listing.ident
         self.zone = listing.zone
         self.cell = listing.cell
         self.started = listing.started
         self.presence = listing.presence
         self.origin = origin
-        count = min(max(round(POINTS * size), LEAST_POINTS), MOST_POINTS)
-        self.points = [] if origin else [xxh64_intdigest(b"%d-%d" % (self.ident, i)) for i in range(count)]
+        self.points = [] if origin else [xxh64_intdigest(b"%d-%d" % (self.ident, i)) for i in range(POINTS)]
         self.salt = xxh64_intdigest(b"fade-%d" % self.ident)
         self.out = 0
         self.buckets = [0.0] * BUCKETS
@@ -208,7 +207,6 @@
         self.came = [0] * tenants
         self.tokens = [1.0] * tenants
         self.peers: dict[int, tuple[float, tuple[float, ...]]] = {}  # one entry a peer
-        self.yardstick = 0.0  # mean size of a server, where the list names sizes
         self.list_heard = False
         self.list_failures = 0
         self.errands: list[Errand] = []
@@ -268,15 +266,12 @@
 
     # ---------------------------------------------------------------- notices
 
-    def hear_list(self, listings: list[Listing], whole: bool, held: bool, now: float) -> None:
+    def hear_list(self, listings: Iterable[Listing], whole: bool, held: bool, now: float) -> None:
         """The list or its changes; `held` is the one that this router kept over its restart."""
         if not held:
             self.list_heard = True
             self.list_failures = 0
         named = set()
-        if self.deployment.sized and not self.yardstick and listings:
-            # Fixed at the first list: a yardstick that moved would move every key.
-            self.yardstick = sum(each.weight for each in listings) / len(listings)
         for listing in listings:
             named.add(listing.ident)
             self._hear_server(listing, now)
@@ -545,8 +540,7 @@
         if known is None or listing.started > known.started:
             if known is not None:
                 self._remove(known)
-            size = listing.weight / self.yardstick if self.yardstick else 1.0
-            known = Cache(listing, origin, size, now)
+            known = Cache(listing, origin, now)
             age = now - listing.started
             if listing.started and age < max(FADE_WINDOW, self.deployment.cold_time):
                 known.share = 0.0
--- a/gaugehinge/simhost/host.py
+++ b/gaugehinge/simhost/host.py
@@ -8,6 +8,7 @@
 import sys
 import traceback
 from base64 import b64decode, b64encode
+from collections.abc import Iterable
 from typing import TextIO
 
 from ..policy import Router
@@ -89,7 +90,7 @@
     def check_result(self, values: dict[str, str], now: float) -> None:
         """No probes are sent, so none is awaited."""
 
-    def fleet(self, form: str, listings: list[Listing], now: float) -> None:
+    def fleet(self, form: str, listings: Iterable[Listing], now: float) -> None:
         if form == "error":
             self.router.list_failed(now)
         else:
--- a/gaugehinge/terms.py
+++ b/gaugehinge/terms.py
@@ -117,7 +117,6 @@
     longest_come_back: float  # 0 where clients are not told when to come back
     beyond_share: float
     payoff_by_work: bool
-    sized: bool  # the list's weights are sizes
 
 
 class Listing(NamedTuple):
@@ -129,7 +128,6 @@
     cell: int
     presence: Presence
     started: float  # 0: long ago
-    weight: float
 
 
 @dataclass(slots=True, eq=False)
