--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -34,7 +34,7 @@
 # The ring walk (values of the source unless a reason is given)
 POINTS = 100  # ring points of a cache
 FACTOR = 1.25  # the balance factor: a cache over this times the ready mean is walked past
-LEAST_BOUND = 2.0  # below two in flight a bound would scatter the keys of a quiet router
+LEAST_BOUND = 3.0  # below two in flight a bound would scatter the keys of a quiet router
 HOPS = 10  # caches looked at before the least loaded one is taken
 BUCKET = 0.03  # the occupancy window is five of these
 BUCKETS = 5
@@ -338,7 +338,8 @@
                 if len(passed) >= len(self.caches):
                     break
                 continue
-            load = cache.load
+            # The operation itself counts in: an idle cache known to be slow is walked past too.
+            load = max(cache.out + 1, cache.busy / (BUCKET * BUCKETS)) * cache.multiplier
             if load <= bound:
                 return cache
             if least is None or load < least_load:
