--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -34,7 +34,7 @@
 # The ring walk (values of the source unless a reason is given)
 POINTS = 100  # ring points of a cache
 FACTOR = 1.25  # the balance factor: a cache over this times the ready mean is walked past
-LEAST_BOUND = 3.0  # below two in flight a bound would scatter the keys of a quiet router
+LEAST_BOUND = 2.0  # below two in flight a bound would scatter the keys of a quiet router
 HOPS = 10  # caches looked at before the least loaded one is taken
 BUCKET = 0.03  # the occupancy window is five of these
 BUCKETS = 5
@@ -46,6 +46,13 @@
 FADE_CURVE = 2.5
 FADE_WINDOW = 30.0
 
+# Slow caches
+KEEP_STEP = 0.03  # a beat, how fast a slow cache gives up keys: slower than its latency can answer
+KEEP_LEAST = 0.2  # it keeps this part of its keys, or it could never show that it recovered
+KEEP_SLOW = 1.3  # smoothed relative latency from which it gives up keys,
+KEEP_QUICK = 1.05  # and under which it takes them back
+KEEP_MEMORY = 0.96  # a beat: a few slow operations are not a slow cache
+
 # Cold caches
 THIN_SHARE = 0.7  # with less than this part of the fleet's share at work, fading caches are lifted
 RATE_KEEP = 0.97  # a bucket: about one second of memory for the rate of answered legs
@@ -105,7 +112,7 @@
 
     __slots__ = (
         "ident", "zone", "cell", "started", "presence", "points", "salt", "out", "buckets", "busy", "load",
-        "multiplier", "delay", "finished", "quiet_since", "fault", "aside_until", "trial", "share",
+        "multiplier", "delay", "finished", "quiet_since", "fault", "aside_until", "trial", "share", "keep", "slow",
         "capacity", "tokens", "origin", "full_until",
     )
 
@@ -131,6 +138,8 @@
         self.full_until = 0.0
         self.trial = 0  # settled legs still wanted, one at a time
         self.share = 1.0  # of its keys, while it fades in
+        self.slow = 1.0  # relative latency over some seconds
+        self.keep = 1.0  # the part of its keys that it keeps while it is slower than the rest
         self.capacity = 1.0  # the least it is stated to have by now
         self.tokens = 1.0
 
@@ -338,8 +347,7 @@
                 if len(passed) >= len(self.caches):
                     break
                 continue
-            # The operation itself counts in: an idle cache known to be slow is walked past too.
-            load = max(cache.out + 1, cache.busy / (BUCKET * BUCKETS)) * cache.multiplier
+            load = cache.load
             if load <= bound:
                 return cache
             if least is None or load < least_load:
@@ -354,11 +362,12 @@
             return False
         if cache.full_until > operation.asked:
             return False
-        if cache.share < 1.0:
+        part = cache.share * cache.keep
+        if part < 1.0:
             # The draw is tied to the key: a joining cache warms with the keys that it will keep. Without
             # tokens the overflow of others' walks, or one hot key, would push a cold cache over.
             draw = (((key ^ cache.salt) * MIX) & MASK) / SCALE
-            if draw >= cache.share or cache.tokens < 1.0:
+            if draw >= part or (cache.share < 1.0 and cache.tokens < 1.0):
                 return False
         return operation.ran_at is None or self._drops_repeats(cache, operation)
 
@@ -611,6 +620,7 @@
             self.late_sum, self.late_count = 0.0, 0
         else:
             self.lateness *= LATE_KEEP
+        self._set_keeps()
         before = self.valve
         over = self.lateness / CALM - 1.0
         self.valve += VALVE_RISE * min(over, 1.0) if over > 0.0 else VALVE_FALL * over
@@ -620,6 +630,18 @@
             self.log.append(f"valve {state}: legs take {self.lateness:.2f} of the promised time")
         self._set_drops()
 
+    def _set_keeps(self) -> None:
+        """A lastingly slow cache gives up keys, always the same ones, until it is as quick as the rest.
+
+        The bound cannot do this for a sparse router, which rarely has two legs out at any cache.
+        """
+        for cache in self.ready:
+            cache.slow += (1.0 - KEEP_MEMORY) * (cache.multiplier - cache.slow)
+            if cache.slow > KEEP_SLOW:
+                cache.keep = max(cache.keep * (1.0 - KEEP_STEP), KEEP_LEAST)
+            elif cache.keep < 1.0 and cache.slow < KEEP_QUICK:
+                cache.keep = min(cache.keep * (1.0 + KEEP_STEP), 1.0)
+
     def _set_drops(self) -> None:
         work = self.work
         self.asked = [a * 0.95 for a in self.asked]
