--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -112,8 +112,8 @@
 
     __slots__ = (
         "ident", "zone", "cell", "started", "presence", "points", "salt", "out", "buckets", "busy", "load",
-        "multiplier", "delay", "finished", "quiet_since", "fault", "aside_until", "trial", "share", "keep", "slow",
-        "capacity", "tokens", "origin", "full_until",
+        "multiplier", "delay", "finished", "quiet_since", "fault", "aside_until", "trial", "share",
+        "keep", "slow", "capacity", "tokens", "origin", "full_until",
     )
 
     def __init__(self, listing: Listing, origin: bool, now: float) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -267,3 +267,17 @@
     bench.router.drop, bench.router.next_beat = [1.0] * 6, 1e9
     assert bench.ask(traffic=MARKED)[1].verdict is Verdict.SEND
     assert bench.ask()[1].verdict is Verdict.BOUNCE
+
+
+def test_a_lastingly_slow_cache_gives_up_keys_and_takes_them_back_when_quick():
+    bench = Bench()
+    slow = bench.settle("k")
+    shares = []
+    for late in (0.5, 0.02):
+        for i in range(1500):
+            _, answer = bench.ask(f"key-{i % 97}")
+            elapsed = late if answer.leg.server.ident == slow else 0.02
+            bench.router.after(answer.leg, Outcome.SETTLED, elapsed, True, bench.now)
+            bench.now += 0.03
+        shares.append(bench.router.caches[slow].keep)
+    assert shares[0] < 0.6 and shares[1] == 1.0
