--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -80,6 +80,9 @@
 FLOOR_EPOCH = 15.0  # the latency floor is the least of the last two epochs
 
 # Overload
+QUEUE_PART = 0.4  # of the promised time: a cache holds no more legs than it answers in this,
+SPARE_PART = 0.2  # and what is beyond a share only goes to a home cache that answers within this
+LEAST_ROOM = 3.0  # legs a cache may hold however few it answered: a sparse router learns by them
 BEAT = 0.1  # how often the valve moves
 CALM = 0.45  # mean share of the promised time that a leg may take before the valve closes
 VALVE_RISE = 0.06
@@ -113,7 +116,7 @@
     __slots__ = (
         "ident", "zone", "cell", "started", "presence", "points", "salt", "out", "buckets", "busy", "load",
         "multiplier", "delay", "finished", "quiet_since", "fault", "aside_until", "trial", "share",
-        "keep", "slow", "capacity", "tokens", "origin", "full_until",
+        "keep", "slow", "pace", "answered", "capacity", "tokens", "origin", "full_until",
     )
 
     def __init__(self, listing: Listing, origin: bool, now: float) -> None:
@@ -124,6 +127,8 @@
         self.presence = listing.presence
         self.origin = origin
         self.points = [] if origin else [xxh64_intdigest(b"%d-%d" % (self.ident, i)) for i in range(POINTS)]
+        self.pace = 0.0  # legs it answered for this router, a second
+        self.answered = 0  # since the last bucket
         self.salt = xxh64_intdigest(b"fade-%d" % self.ident)
         self.out = 0
         self.buckets = [0.0] * BUCKETS
@@ -339,6 +344,10 @@
             if cache in passed:
                 continue
             passed.append(cache)
+            if operation.beyond and len(passed) == 1 and (
+                cache.out >= max(cache.pace * SPARE_PART * operation.traffic.promised, LEAST_ROOM - 1.0)
+            ):
+                return None
             if not self._may_take(cache, operation, key):
                 if cache.share < 1.0 and cache.tokens >= 1.0 and cache not in operation.tried and (
                     not cache.aside_until and (spare is None or cache.load < spare.load)
@@ -362,6 +371,9 @@
             return False
         if cache.full_until > operation.asked:
             return False
+        # A queue shows in what is out against what comes back long before it shows in latencies.
+        if cache.out >= LEAST_ROOM and cache.out >= cache.pace * QUEUE_PART * operation.traffic.promised:
+            return False
         part = cache.share * cache.keep
         if part < 1.0:
             # The draw is tied to the key: a joining cache warms with the keys that it will keep. Without
@@ -397,20 +409,23 @@
         steps = min(int((now - self.next_bucket) / BUCKET) + 1, BUCKETS)
         self.next_bucket = max(self.next_bucket + steps * BUCKET, now)
         keep = LATENCY_KEEP ** steps
+        span = steps * BUCKET
+        pace_keep = RATE_KEEP ** steps
         delay = finished = 0.0
         for cache in self.caches.values():
             for n in range(1, steps + 1):
                 slot = (self.bucket + n) % BUCKETS
                 cache.busy -= cache.buckets[slot]
                 cache.buckets[slot] = 0.0
+            cache.pace += (1.0 - pace_keep) * (cache.answered / span - cache.pace)
+            cache.answered = 0
             cache.delay *= keep
             cache.finished *= keep
             delay += cache.delay
             finished += cache.finished
         self.bucket = (self.bucket + steps) % BUCKETS
         mean = (delay + PRIOR) / (finished + PRIOR)
-        span = steps * BUCKET
-        self.rate = RATE_KEEP ** steps * self.rate + (1 - RATE_KEEP ** steps) * self.answered / span
+        self.rate += (1.0 - pace_keep) * (self.answered / span - self.rate)
         self.answered = 0
         self._return(now)
         self._fade(now, span)
@@ -482,6 +497,7 @@
             # Only answered legs measure what a cache can bear: turned-away ones and repeats swell with
             # an overload and would raise the budget of the cold caches just then.
             self.answered += 1
+            cache.answered += 1
         if outcome is Outcome.SETTLED:
             self._learn_settled(cache, operation, elapsed)
         elif outcome is Outcome.TURNED_AWAY:
@@ -592,7 +608,8 @@
         operation.prompt = operation.arrived + traffic.promised
         last = operation.abandon - self.spare
         operation.useful = last if traffic.late_payoff else min(last, operation.prompt - self.spare)
-        place = 2 * traffic.row + self._beyond_share(operation)
+        operation.beyond = self._beyond_share(operation)
+        place = 2 * traffic.row + operation.beyond
         if operation.write and self.deployment.aside:
             # It asks nothing of the caches: bouncing it would lose its payoff and relieve nobody.
             return self._route(operation, now)
@@ -601,15 +618,15 @@
             return self._give_up(operation)
         return self._route(operation, now)
 
-    def _beyond_share(self, operation: Operation) -> int:
+    def _beyond_share(self, operation: Operation) -> bool:
         tenant = operation.tenant
         if tenant < 0:
-            return 0
+            return False
         self.came[tenant] += 1
         if self.tokens[tenant] >= 1.0:
             self.tokens[tenant] -= 1.0
-            return 0
-        return 1
+            return False
+        return True
 
     def _beat(self, now: float) -> None:
         """The valve: closes while legs take too much of the promised time, lowest payoff first."""
--- a/gaugehinge/terms.py
+++ b/gaugehinge/terms.py
@@ -148,6 +148,7 @@
     prompt: float = 0.0  # after this an answer earns less or nothing
     useful: float = 0.0  # after this the operation is given up
     tried: list = field(default_factory=list)
+    beyond: bool = False  # its tenant's share was used up when it came
     asked: float = 0.0  # when the walk was last asked
     turned: int = 0  # caches that turned it away
     wants_origin: bool = False
