--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -36,6 +36,7 @@
 FACTOR = 1.25  # the balance factor: a cache over this times the ready mean is walked past
 LEAST_BOUND = 2.0  # below two in flight a bound would scatter the keys of a quiet router
 HOPS = 10  # caches looked at before the least loaded one is taken
+MOST_PASSED = 20  # caches passed in all, with those that cannot take it: a full fleet is not searched whole
 BUCKET = 0.03  # the occupancy window is five of these
 BUCKETS = 5
 MOST_MULTIPLIER = 5.0  # of relative latency; also the mark of a stuck cache
@@ -337,6 +338,7 @@
         owners = self.owners
         start = bisect_left(points, key)
         passed: list[Cache] = []
+        most = min(len(self.caches), MOST_PASSED)
         least = spare = None
         least_load = 0.0
         for i in range(start - len(points), start):
@@ -353,7 +355,7 @@
                     not cache.aside_until and (spare is None or cache.load < spare.load)
                 ) and (operation.ran_at is None or self._drops_repeats(cache, operation)):
                     spare = cache
-                if len(passed) >= len(self.caches):
+                if len(passed) >= most:
                     break
                 continue
             load = cache.load
