--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -117,7 +117,7 @@
     __slots__ = (
         "ident", "zone", "cell", "started", "presence", "points", "salt", "out", "buckets", "busy", "load",
         "multiplier", "delay", "finished", "quiet_since", "fault", "aside_until", "trial", "share",
-        "keep", "slow", "pace", "answered", "capacity", "tokens", "origin", "full_until",
+        "keep", "slow", "pace", "answered", "answered_at", "capacity", "tokens", "origin", "full_until",
     )
 
     def __init__(self, listing: Listing, origin: bool, now: float) -> None:
@@ -130,6 +130,7 @@
         self.points = [] if origin else [xxh64_intdigest(b"%d-%d" % (self.ident, i)) for i in range(POINTS)]
         self.pace = 0.0  # legs it answered for this router, a second
         self.answered = 0  # since the last bucket
+        self.answered_at = now
         self.salt = xxh64_intdigest(b"fade-%d" % self.ident)
         self.out = 0
         self.buckets = [0.0] * BUCKETS
@@ -260,7 +261,7 @@
         if cache.origin:
             self._learn_origin(leg, outcome, elapsed, now)
         else:
-            self._learn_cache(cache, operation, outcome, elapsed, now)
+            self._learn_cache(leg, outcome, elapsed, now)
         if over:
             operation.over = True
         if not operation.over:
@@ -488,9 +489,8 @@
 
     # ---------------------------------------------------------------- set-aside
 
-    def _learn_cache(
-        self, cache: Cache, operation: Operation, outcome: Outcome, elapsed: float, now: float
-    ) -> None:
+    def _learn_cache(self, leg: Leg, outcome: Outcome, elapsed: float, now: float) -> None:
+        cache, operation = leg.server, leg.operation
         cache.out -= 1
         cache.quiet_since = now
         cache.buckets[self.bucket] += elapsed
@@ -500,6 +500,7 @@
             # an overload and would raise the budget of the cold caches just then.
             self.answered += 1
             cache.answered += 1
+            cache.answered_at = now
         if outcome is Outcome.SETTLED:
             self._learn_settled(cache, operation, elapsed)
         elif outcome is Outcome.TURNED_AWAY:
@@ -508,6 +509,10 @@
             operation.turned += 1
         elif outcome in LOST:
             self._blame(cache, LOST_STEP, elapsed, now)
+        elif outcome is Outcome.TIMED_OUT and cache.answered_at > leg.sent:
+            # It answers others: it is loaded, not at fault. Set aside, it would only load the next one.
+            cache.delay += elapsed / self.mean_delay if self.mean_delay else 1.0
+            cache.finished += 1.0
         elif outcome in FAULTS:
             # A quick error would make its cache look light and draw more keys to it: it counts
             # against the cache and its time as at least the mean.
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -281,3 +281,16 @@
             bench.now += 0.03
         shares.append(bench.router.caches[slow].keep)
     assert shares[0] < 0.6 and shares[1] == 1.0
+
+
+def test_a_cache_that_answers_others_is_not_set_aside_for_what_times_out():
+    bench = Bench()
+    home = bench.settle("k")
+    for i in range(10):
+        _, answer = bench.ask("k")
+        if answer.leg.server.ident != home:
+            break
+        bench.now += 0.01
+        bench.router.caches[home].answered_at = bench.now if i < 5 else 0.0
+        bench.end(answer.leg, Outcome.TIMED_OUT, 0.3)
+        assert bool(bench.router.caches[home].aside_until) == (i > 6)
