--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -45,7 +45,7 @@
 STUCK_MEANS = 4.0  # silent for so many mean latencies with legs out: stuck, not quiet
 STUCK_LEAST = 0.1  # and never judged stuck before this
 FADE_CURVE = 2.5
-FADE_WINDOW = 30.0
+FADE_WINDOW = 30.0  # where no warm-up time is stated; else that time: by then a cache bears its share
 
 # Slow caches
 KEEP_STEP = 0.03  # a beat, how fast a slow cache gives up keys: slower than its latency can answer
@@ -223,6 +223,7 @@
         self.came = [0] * tenants
         self.tokens = [1.0] * tenants
         self.peers: dict[int, tuple[float, tuple[float, ...]]] = {}  # one entry a peer
+        self.fade = deployment.cold_time or FADE_WINDOW
         self.list_heard = False
         self.list_failures = 0
         self.errands: list[Errand] = []
@@ -459,7 +460,7 @@
         for cache in self.ready:
             if cache.share < 1.0:
                 age = max(now - cache.started, 0.0)
-                cache.share = min(age / FADE_WINDOW, 1.0) ** FADE_CURVE
+                cache.share = min(age / self.fade, 1.0) ** FADE_CURVE
                 warm = min(age / terms.cold_time, 1.0) if terms.cold_time else 1.0
                 cache.capacity = terms.cold_from + (1.0 - terms.cold_from) * warm
                 if cache.share < 1.0:
@@ -575,7 +576,7 @@
                 self._remove(known)
             known = Cache(listing, origin, now)
             age = now - listing.started
-            if listing.started and age < max(FADE_WINDOW, self.deployment.cold_time):
+            if listing.started and age < self.fade:
                 known.share = 0.0
             if origin:
                 self.origin = known
