--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -622,8 +622,6 @@
             # It asks nothing of the caches: bouncing it would lose its payoff and relieve nobody.
             return self._route(operation, now)
         self.asked[place] += 1.0
-        if self.drop[place] and self._chance() < self.drop[place]:
-            return self._give_up(operation)
         return self._route(operation, now)
 
     def _beyond_share(self, operation: Operation) -> bool:
