--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -83,7 +83,9 @@
 # Overload
 QUEUE_PART = 0.4  # of the promised time: a cache holds no more legs than it answers in this,
 SPARE_PART = 0.2  # and what is beyond a share only goes to a home cache that answers within this
-LEAST_ROOM = 3.0  # legs a cache may hold however few it answered: a sparse router learns by them
+LEAST_ROOM = 2  # legs a cache may hold however few it answered: a sparse router learns by them,
+SLOW_ROOM = 1  # but many sparse routers crowd a cache with two each: one where it is known to be slow
+SLOW = 1.5  # this relative latency
 BEAT = 0.1  # how often the valve moves
 CALM = 0.45  # mean share of the promised time that a leg may take before the valve closes
 VALVE_RISE = 0.06
@@ -349,7 +351,7 @@
                 continue
             passed.append(cache)
             if operation.beyond and len(passed) == 1 and (
-                cache.out >= max(cache.pace * SPARE_PART * operation.traffic.promised, LEAST_ROOM - 1.0)
+                cache.out >= max(cache.pace * SPARE_PART * operation.traffic.promised, LEAST_ROOM)
             ):
                 return None
             if not self._may_take(cache, operation, key):
@@ -376,7 +378,8 @@
         if cache.full_until > operation.asked:
             return False
         # A queue shows in what is out against what comes back long before it shows in latencies.
-        if cache.out >= LEAST_ROOM and cache.out >= cache.pace * QUEUE_PART * operation.traffic.promised:
+        least = LEAST_ROOM if cache.multiplier < SLOW else SLOW_ROOM
+        if cache.out >= least and cache.out >= cache.pace * QUEUE_PART * operation.traffic.promised:
             return False
         part = cache.share * cache.keep
         if part < 1.0:
@@ -622,6 +625,8 @@
             # It asks nothing of the caches: bouncing it would lose its payoff and relieve nobody.
             return self._route(operation, now)
         self.asked[place] += 1.0
+        if self.drop[place] and self._chance() < self.drop[place]:
+            return self._give_up(operation)
         return self._route(operation, now)
 
     def _beyond_share(self, operation: Operation) -> bool:
