--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -41,7 +41,7 @@
 BUCKETS = 5
 MOST_MULTIPLIER = 5.0  # of relative latency; also the mark of a stuck cache
 LATENCY_KEEP = 0.98  # a bucket: a sparse router needs some seconds of legs for a mean
-PRIOR = 2.0  # legs at the mean that each cache is credited with: few legs say little, none say 1
+PRIOR = 2.0  # legs at the mean of its like that each cache is credited with: few legs say little
 STUCK_MEANS = 4.0  # silent for so many mean latencies with legs out: stuck, not quiet
 STUCK_LEAST = 0.1  # and never judged stuck before this
 FADE_CURVE = 2.5
@@ -113,17 +113,28 @@
 FAULTS = (Outcome.ERRORED, Outcome.TIMED_OUT, Outcome.UNKNOWN)
 
 
+class Kind:
+    """What this router saw of the caches that the list calls alike. One for each label in the list."""
+
+    __slots__ = ("delay", "finished")
+
+    def __init__(self) -> None:
+        self.delay = 0.0
+        self.finished = 0.0
+
+
 class Cache:
     """What this router knows of one server. Emptied when the server starts anew or leaves the list."""
 
     __slots__ = (
-        "ident", "zone", "cell", "started", "presence", "points", "salt", "out", "buckets", "busy", "load",
-        "multiplier", "delay", "finished", "quiet_since", "fault", "aside_until", "trial", "share",
+        "ident", "kind", "zone", "cell", "started", "presence", "points", "salt", "out", "buckets", "busy",
+        "load", "multiplier", "delay", "finished", "quiet_since", "fault", "aside_until", "trial", "share",
         "keep", "slow", "pace", "answered", "answered_at", "capacity", "tokens", "origin", "full_until",
     )
 
-    def __init__(self, listing: Listing, origin: bool, now: float) -> None:
+    def __init__(self, listing: Listing, kind: Kind, origin: bool, now: float) -> None:
         self.ident = listing.ident
+        self.kind = kind
         self.zone = listing.zone
         self.cell = listing.cell
         self.started = listing.started
@@ -195,6 +206,7 @@
         self.deployment = deployment
         self.log: list[str] = []  # emptied by the door after each call
         self.caches: dict[int, Cache] = {}  # follows the list
+        self.kinds: dict[str, Kind] = {}  # as many as labels in the list
         self.origin: Cache | None = None
         self.gate = Gate(min((t.promised for t in deployment.traffic_types), default=1.0))
         self.fetches: dict[bytes, list[Operation]] = {}  # a key leaves when its fetch ends
@@ -419,6 +431,8 @@
         span = steps * BUCKET
         pace_keep = RATE_KEEP ** steps
         delay = finished = 0.0
+        for kind in self.kinds.values():
+            kind.delay = kind.finished = 0.0
         for cache in self.caches.values():
             for n in range(1, steps + 1):
                 slot = (self.bucket + n) % BUCKETS
@@ -428,6 +442,8 @@
             cache.answered = 0
             cache.delay *= keep
             cache.finished *= keep
+            cache.kind.delay += cache.delay
+            cache.kind.finished += cache.finished
             delay += cache.delay
             finished += cache.finished
         self.bucket = (self.bucket + steps) % BUCKETS
@@ -442,7 +458,9 @@
             if cache.out and now - cache.quiet_since > silence:
                 cache.multiplier = MOST_MULTIPLIER
             else:
-                relative = (cache.delay + PRIOR * mean) / (cache.finished + PRIOR) / mean
+                kind = cache.kind
+                alike = (kind.delay + PRIOR * mean) / (kind.finished + PRIOR)
+                relative = (cache.delay + PRIOR * alike) / (cache.finished + PRIOR) / mean
                 cache.multiplier = min(relative, MOST_MULTIPLIER)
             occupancy = cache.busy / (BUCKET * BUCKETS)
             cache.load = (cache.out if cache.out > occupancy else occupancy) * cache.multiplier
@@ -577,7 +595,7 @@
         if known is None or listing.started > known.started:
             if known is not None:
                 self._remove(known)
-            known = Cache(listing, origin, now)
+            known = Cache(listing, self.kinds.setdefault(listing.kind, Kind()), origin, now)
             age = now - listing.started
             if listing.started and age < self.fade:
                 known.share = 0.0
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -301,3 +301,16 @@
     home.multiplier, home.load = 1.8, 0.0
     servers = [bench.ask("k")[1].leg.server for _ in range(2)]
     assert servers[0] is home and servers[1] is not home
+
+
+def test_a_cache_with_few_legs_is_judged_beside_those_of_its_like():
+    bench = Bench(caches=0)
+    bench.hear([row(i, kind="old" if i < 5 else "new") for i in range(1, 9)] + [origin_row()])
+    unseen = bench.router.caches[1]
+    for i in range(400):
+        bench.now += 0.02
+        _, answer = bench.ask(f"key-{i}")
+        if answer.leg and answer.leg.server is not unseen:
+            elapsed = 0.1 if answer.leg.server.ident < 5 else 0.02
+            bench.router.after(answer.leg, Outcome.SETTLED, elapsed, True, bench.now)
+    assert unseen.multiplier > 1.3
