--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -81,8 +81,8 @@
 FLOOR_EPOCH = 15.0  # the latency floor is the least of the last two epochs
 
 # Overload
-QUEUE_PART = 0.4  # of the promised time: a cache holds no more legs than it answers in this,
-SPARE_PART = 0.2  # and what is beyond a share only goes to a home cache that answers within this
+QUEUE_PART = 0.3  # of the promised time: a cache holds no more legs than it answers in this,
+SPARE_PART = 0.15  # and what is beyond a share only goes to a home cache that answers within this
 LEAST_ROOM = 2  # legs a cache may hold however few it answered: a sparse router learns by them,
 SLOW_ROOM = 1  # but many sparse routers crowd a cache with two each: one where it is known to be slow
 SLOW = 1.5  # this relative latency
