--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -85,7 +85,9 @@
 SPARE_PART = 0.15  # and what is beyond a share only goes to a home cache that answers within this
 LEAST_ROOM = 2  # legs a cache may hold however few it answered: a sparse router learns by them,
 SLOW_ROOM = 1  # but many sparse routers crowd a cache with two each: one where it is known to be slow
-SLOW = 1.5  # this relative latency
+SLOW = 1.5  # this relative latency, or crowded: its legs take QUEUE_PART of the promised time
+CROWD_KEEP = 0.8  # of that measure, a leg
+CROWD_REST = 1.0  # a crowded cache rests this many times what its last leg took, or floors alone keep it full
 BEAT = 0.1  # how often the valve moves
 CALM = 0.45  # mean share of the promised time that a leg may take before the valve closes
 VALVE_RISE = 0.06
@@ -129,7 +131,8 @@
     __slots__ = (
         "ident", "kind", "zone", "cell", "started", "presence", "points", "salt", "out", "buckets", "busy",
         "load", "multiplier", "delay", "finished", "quiet_since", "fault", "aside_until", "trial", "share",
-        "keep", "slow", "pace", "answered", "answered_at", "capacity", "tokens", "origin", "full_until",
+        "keep", "slow", "pace", "answered", "answered_at", "late", "capacity", "tokens", "origin",
+        "full_until",
     )
 
     def __init__(self, listing: Listing, kind: Kind, origin: bool, now: float) -> None:
@@ -144,6 +147,7 @@
         self.pace = 0.0  # legs it answered for this router, a second
         self.answered = 0  # since the last bucket
         self.answered_at = now
+        self.late = 0.0  # smoothed part of the promised time that its legs take
         self.salt = xxh64_intdigest(b"fade-%d" % self.ident)
         self.out = 0
         self.buckets = [0.0] * BUCKETS
@@ -390,7 +394,7 @@
         if cache.full_until > operation.asked:
             return False
         # A queue shows in what is out against what comes back long before it shows in latencies.
-        least = LEAST_ROOM if cache.multiplier < SLOW else SLOW_ROOM
+        least = LEAST_ROOM if cache.multiplier < SLOW and cache.late < QUEUE_PART else SLOW_ROOM
         if cache.out >= least and cache.out >= cache.pace * QUEUE_PART * operation.traffic.promised:
             return False
         part = cache.share * cache.keep
@@ -539,9 +543,13 @@
             # A quick error would make its cache look light and draw more keys to it: it counts
             # against the cache and its time as at least the mean.
             self._blame(cache, FAULT_STEP, elapsed, now)
+        late = min(elapsed / operation.traffic.promised, 1.5)
+        cache.late += (1.0 - CROWD_KEEP) * (late - cache.late)
+        if cache.late > QUEUE_PART:
+            # Held at even one leg from each of many routers, a crowded cache that slows down stays so.
+            cache.full_until = max(cache.full_until, now + CROWD_REST * elapsed * self._chance())
         if outcome is not Outcome.MISSED and outcome is not Outcome.CALLED_OFF:
-            turned = outcome is Outcome.TURNED_AWAY
-            self.late_sum += 1.0 if turned else min(elapsed / operation.traffic.promised, 1.5)
+            self.late_sum += 1.0 if outcome is Outcome.TURNED_AWAY else late
             self.late_count += 1
         self._weigh(cache)
 
