--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -85,7 +85,8 @@
 SPARE_PART = 0.15  # and what is beyond a share only goes to a home cache that answers within this
 LEAST_ROOM = 2  # legs a cache may hold however few it answered: a sparse router learns by them,
 SLOW_ROOM = 1  # but many sparse routers crowd a cache with two each: one where it is known to be slow
-SLOW = 1.5  # this relative latency, or crowded: its legs take QUEUE_PART of the promised time
+SLOW = 1.5  # this relative latency, or crowded:
+CROWDED = 0.5  # its legs take this part of the promised time
 CROWD_KEEP = 0.8  # of that measure, a leg
 CROWD_REST = 1.0  # a crowded cache rests this many times what its last leg took, or floors alone keep it full
 BEAT = 0.1  # how often the valve moves
@@ -394,7 +395,7 @@
         if cache.full_until > operation.asked:
             return False
         # A queue shows in what is out against what comes back long before it shows in latencies.
-        least = LEAST_ROOM if cache.multiplier < SLOW and cache.late < QUEUE_PART else SLOW_ROOM
+        least = LEAST_ROOM if cache.multiplier < SLOW and cache.late < CROWDED else SLOW_ROOM
         if cache.out >= least and cache.out >= cache.pace * QUEUE_PART * operation.traffic.promised:
             return False
         part = cache.share * cache.keep
@@ -545,7 +546,7 @@
             self._blame(cache, FAULT_STEP, elapsed, now)
         late = min(elapsed / operation.traffic.promised, 1.5)
         cache.late += (1.0 - CROWD_KEEP) * (late - cache.late)
-        if cache.late > QUEUE_PART:
+        if cache.late > CROWDED:
             # Held at even one leg from each of many routers, a crowded cache that slows down stays so.
             cache.full_until = max(cache.full_until, now + CROWD_REST * elapsed * self._chance())
         if outcome is not Outcome.MISSED and outcome is not Outcome.CALLED_OFF:
