--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -78,6 +78,7 @@
 GATE_SLOW = 2.5  # smoothed latency over this times its floor means a queue at the origin,
 GATE_QUEUE = 0.3  # but not before it took this part of the shortest promised time: latencies vary by nature
 GATE_KEEP = 0.95  # of the smoothed latency, a finished leg
+MISS_MEMORY = 5.0  # for how long, to twice that, a key's misses are counted
 FLOOR_EPOCH = 15.0  # the latency floor is the least of the last two epochs
 
 # Overload
@@ -215,6 +216,9 @@
         self.origin: Cache | None = None
         self.gate = Gate(min((t.promised for t in deployment.traffic_types), default=1.0))
         self.fetches: dict[bytes, list[Operation]] = {}  # a key leaves when its fetch ends
+        self.missed: dict[bytes, int] = {}  # misses by key; moved on, then dropped, each MISS_MEMORY
+        self.missed_before: dict[bytes, int] = {}
+        self.next_memory = now
         self.points: list[int] = []
         self.owners: list[Cache] = []
         self.ready: list[Cache] = []  # up and not aside, in ring order of ids
@@ -670,6 +674,9 @@
         """The valve: closes while legs take too much of the promised time, lowest payoff first."""
         self.next_beat = now + BEAT
         self._share_out(now)
+        if now >= self.next_memory:
+            self.next_memory = now + MISS_MEMORY
+            self.missed_before, self.missed = self.missed, {}
         if self.late_count:
             self.lateness = LATE_KEEP * self.lateness + (1 - LATE_KEEP) * self.late_sum / self.late_count
             self.late_sum, self.late_count = 0.0, 0
@@ -777,6 +784,7 @@
         """After a leg that did not settle its operation."""
         if outcome is Outcome.MISSED and not leg.server.origin:
             operation.wants_origin = True
+            self.missed[operation.key] = self.missed.get(operation.key, 0) + 1
             if len(operation.legs) >= self.deployment.most_legs:
                 return self._give_up(operation)  # no leg is left to end a wait with
             waiting = self.fetches.get(operation.key)
@@ -832,8 +840,15 @@
         return min(operation.prompt, operation.useful)
 
     def _rank(self, operation: Operation) -> float:
-        """Writes first, then by payoff."""
-        return -operation.traffic.payoff - (1e6 if operation.write else 0.0)
+        """Writes first, then by payoff times the key's misses lately.
+
+        Behind a slow origin the keys that most ask for must come back first: fetched in turn with rare
+        ones they keep missing, and the misses keep the origin full.
+        """
+        if operation.write:
+            return -1e6 - operation.traffic.payoff
+        count = self.missed.get(operation.key, 0) + self.missed_before.get(operation.key, 0)
+        return -operation.traffic.payoff * count
 
     def _to_origin(self, operation: Operation, now: float) -> Answer:
         self.gate.out += 1
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -318,3 +318,14 @@
             elapsed = 0.1 if answer.leg.server.ident < 5 else 0.02
             bench.router.after(answer.leg, Outcome.SETTLED, elapsed, True, bench.now)
     assert unseen.multiplier > 1.3
+
+
+def test_behind_a_full_origin_the_key_that_misses_most_is_fetched_first():
+    bench = Bench()
+    first = [bench.ask(key)[1].leg for key in ("busy", "rare", "much")]
+    bench.end(first[0], Outcome.MISSED, 0.001)
+    bench.router.gate.limit = 1.0
+    bench.router.missed_before = {b"much": 5}
+    for leg in first[1:]:
+        assert bench.end(leg, Outcome.MISSED, 0.001)[0][1].verdict is Verdict.WAIT
+    assert [entry[2].key for entry in bench.router.gate.queue] == [b"much", b"rare"]
