--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -84,6 +84,7 @@
 # Overload
 QUEUE_PART = 0.3  # of the promised time: a cache holds no more legs than it answers in this,
 SPARE_PART = 0.15  # and what is beyond a share only goes to a home cache that answers within this
+SPARE_LATE = 0.25  # and whose legs take less than this part of the promised time
 LEAST_ROOM = 2  # legs a cache may hold however few it answered: a sparse router learns by them,
 SLOW_ROOM = 1  # but many sparse routers crowd a cache with two each: one where it is known to be slow
 SLOW = 1.5  # this relative latency, or crowded:
@@ -372,7 +373,8 @@
                 continue
             passed.append(cache)
             if operation.beyond and len(passed) == 1 and (
-                cache.out >= max(cache.pace * SPARE_PART * operation.traffic.promised, LEAST_ROOM)
+                cache.late > SPARE_LATE
+                or cache.out >= max(cache.pace * SPARE_PART * operation.traffic.promised, SLOW_ROOM)
             ):
                 return None
             if not self._may_take(cache, operation, key):
