--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -215,7 +215,9 @@
         self.caches: dict[int, Cache] = {}  # follows the list
         self.kinds: dict[str, Kind] = {}  # as many as labels in the list
         self.origin: Cache | None = None
-        self.gate = Gate(min((t.promised for t in deployment.traffic_types), default=1.0))
+        # A queue holds up all that pass through it: the shortest promised time is what it is held to.
+        self.shortest = min((t.promised for t in deployment.traffic_types), default=1.0)
+        self.gate = Gate(self.shortest)
         self.fetches: dict[bytes, list[Operation]] = {}  # a key leaves when its fetch ends
         self.missed: dict[bytes, int] = {}  # misses by key; moved on, then dropped, each MISS_MEMORY
         self.missed_before: dict[bytes, int] = {}
@@ -374,7 +376,7 @@
             passed.append(cache)
             if operation.beyond and len(passed) == 1 and (
                 cache.late > SPARE_LATE
-                or cache.out >= max(cache.pace * SPARE_PART * operation.traffic.promised, SLOW_ROOM)
+                or cache.out >= max(cache.pace * SPARE_PART * self.shortest, SLOW_ROOM)
             ):
                 return None
             if not self._may_take(cache, operation, key):
@@ -402,7 +404,7 @@
             return False
         # A queue shows in what is out against what comes back long before it shows in latencies.
         least = LEAST_ROOM if cache.multiplier < SLOW and cache.late < CROWDED else SLOW_ROOM
-        if cache.out >= least and cache.out >= cache.pace * QUEUE_PART * operation.traffic.promised:
+        if cache.out >= least and cache.out >= cache.pace * QUEUE_PART * self.shortest:
             return False
         part = cache.share * cache.keep
         if part < 1.0:
@@ -551,7 +553,8 @@
             # against the cache and its time as at least the mean.
             self._blame(cache, FAULT_STEP, elapsed, now)
         late = min(elapsed / operation.traffic.promised, 1.5)
-        cache.late += (1.0 - CROWD_KEEP) * (late - cache.late)
+        crowd = min(elapsed / self.shortest, 1.5)
+        cache.late += (1.0 - CROWD_KEEP) * (crowd - cache.late)
         if cache.late > CROWDED:
             # Held at even one leg from each of many routers, a crowded cache that slows down stays so.
             cache.full_until = max(cache.full_until, now + CROWD_REST * elapsed * self._chance())
