--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -36,7 +36,7 @@
 FACTOR = 1.25  # the balance factor: a cache over this times the ready mean is walked past
 LEAST_BOUND = 2.0  # below two in flight a bound would scatter the keys of a quiet router
 HOPS = 10  # caches looked at before the least loaded one is taken
-MOST_PASSED = 20  # caches passed in all, with those that cannot take it: a full fleet is not searched whole
+MOST_PASSED = 12  # caches passed in all, with those that cannot take it: a full fleet is not searched whole
 BUCKET = 0.03  # the occupancy window is five of these
 BUCKETS = 5
 MOST_MULTIPLIER = 5.0  # of relative latency; also the mark of a stuck cache
@@ -135,7 +135,7 @@
         "ident", "kind", "zone", "cell", "started", "presence", "points", "salt", "out", "buckets", "busy",
         "load", "multiplier", "delay", "finished", "quiet_since", "fault", "aside_until", "trial", "share",
         "keep", "slow", "pace", "answered", "answered_at", "late", "capacity", "tokens", "origin",
-        "full_until",
+        "full_until", "walk",
     )
 
     def __init__(self, listing: Listing, kind: Kind, origin: bool, now: float) -> None:
@@ -163,6 +163,7 @@
         self.fault = 0.0
         self.aside_until = 0.0
         self.full_until = 0.0
+        self.walk = 0  # the last walk that came past
         self.trial = 0  # settled legs still wanted, one at a time
         self.share = 1.0  # of its keys, while it fades in
         self.slow = 1.0  # relative latency over some seconds
@@ -234,6 +235,7 @@
         self.answered = 0
         self.thin = False
         self.counter = 0
+        self.walks = 0
         self.spare = max(SPARE_TICKS * deployment.tick, 0.005)
         self.next_beat = now
         self.valve = 0.0
@@ -365,37 +367,44 @@
         key = xxh64_intdigest(operation.key)
         owners = self.owners
         start = bisect_left(points, key)
-        passed: list[Cache] = []
         most = min(len(self.caches), MOST_PASSED)
+        self.walks = walk = self.walks + 1
+        passed = hops = 0
         least = spare = None
-        least_load = 0.0
         for i in range(start - len(points), start):
             cache = owners[i]
-            if cache in passed:
+            if cache.walk == walk:
                 continue
-            passed.append(cache)
-            if operation.beyond and len(passed) == 1 and (
-                cache.late > SPARE_LATE
-                or cache.out >= max(cache.pace * SPARE_PART * self.shortest, SLOW_ROOM)
-            ):
+            cache.walk = walk
+            passed += 1
+            if operation.beyond and passed == 1 and not self._has_spare_room(cache):
                 return None
-            if not self._may_take(cache, operation, key):
-                if cache.share < 1.0 and cache.tokens >= 1.0 and cache not in operation.tried and (
-                    not cache.aside_until and (spare is None or cache.load < spare.load)
-                ) and (operation.ran_at is None or self._drops_repeats(cache, operation)):
-                    spare = cache
-                if len(passed) >= most:
-                    break
-                continue
-            load = cache.load
-            if load <= bound:
-                return cache
-            if least is None or load < least_load:
-                least, least_load = cache, load
-            if len(passed) >= HOPS:
+            if self._may_take(cache, operation, key):
+                load = cache.load
+                if load <= bound:
+                    return cache
+                hops += 1
+                if least is None or load < least.load:
+                    least = cache
+            elif cache.share < 1.0 and (spare is None or cache.load < spare.load) and (
+                self._may_join(cache, operation)
+            ):
+                spare = cache
+            if passed >= most or hops >= HOPS:
                 break
         return least or spare  # a joining cache within its budget, rather than none
 
+    def _has_spare_room(self, cache: Cache) -> bool:
+        """Whether what is beyond a share may go to its home cache."""
+        room = max(cache.pace * SPARE_PART * self.shortest, SLOW_ROOM)
+        return cache.late <= SPARE_LATE and cache.out < room
+
+    def _may_join(self, cache: Cache, operation: Operation) -> bool:
+        """Whether a joining cache has budget left for a key that its draw does not give it yet."""
+        if cache.tokens < 1.0 or cache.aside_until or cache in operation.tried:
+            return False
+        return operation.ran_at is None or self._drops_repeats(cache, operation)
+
     def _may_take(self, cache: Cache, operation: Operation, key: int) -> bool:
         """Whether this cache is there for this key at all, whatever its load."""
         if cache.aside_until or cache in operation.tried or (cache.trial and cache.out):
