--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -65,7 +65,9 @@
 FAULT_LIMIT = 0.5
 ASIDE_TIME = 2.0  # a set-aside cache returns after this plus a random part
 ASIDE_CHANCE = 1.0
-MOST_ASIDE = 0.34  # part of the fleet that may be aside at once: the rest would drown
+MOST_ASIDE = 0.34  # part of the fleet that may be aside at once: the rest would drown,
+MOST_DEAD = 0.75  # but this part where the cache answered nothing lately: a lost zone bears no load anyway
+DEAD_SILENCE = 0.5  # seconds without an answer, with failures, that make it so
 TRIAL_WINS = 3  # settled legs, one at a time, before a returned cache counts as sound
 
 FULL_PAUSE = 0.1  # a cache that turned a leg away is passed for about this: some of its queue drains
@@ -591,7 +593,9 @@
         if cache.aside_until or (cache.fault < FAULT_LIMIT and not cache.trial):
             return
         aside = sum(1 for c in self.caches.values() if c.aside_until)
-        if cache.presence is not Presence.UP or (aside + 1) > MOST_ASIDE * len(self.caches):
+        # With a zone lost, legs would go on to the dead ones above the cap and fail one by one.
+        most = MOST_DEAD if now - cache.answered_at > DEAD_SILENCE else MOST_ASIDE
+        if cache.presence is not Presence.UP or (aside + 1) > most * len(self.caches):
             return  # never the whole fleet: what fails everywhere is no fault of one cache
         cache.aside_until = now + ASIDE_TIME + ASIDE_CHANCE * self._chance()
         self.log.append(f"cache {cache.ident} aside: fault {cache.fault:.2f}, {aside + 1} aside")
--- a/gaugehinge/simhost/wire.py
+++ b/gaugehinge/simhost/wire.py
@@ -78,7 +78,6 @@
     kind = domain.get("originKind", -1)
     told = Deployment(
         seed=seed,
-        number=int(info.get("me", 0)),
         routers=int(info.get("replicasOfMe", 1)),
         traffic_types=tuple(_traffic_type(i, t) for i, t in enumerate(types)),
         tenants=tuple(
@@ -88,11 +87,9 @@
         origin_kind=shapes[kind] if 0 <= kind < len(shapes) else None,
         tick=seconds(info.get("granularityUs", 1000)),
         most_legs=int(allowed.get("mostLegs", 1)),
-        drain_grace=seconds(rules.get("drainGraceUs", 0)),
         cold_from=float(rules.get("coldFrom", 0.1)),
         cold_time=seconds(rules.get("coldUs", 30_000_000)),
         fall_time=seconds(rules.get("fallUs", 1_000_000)),
-        ask_within=seconds(rules.get("askWithinUs", 10_000_000)),
         may_cancel=bool(allowed.get("mayCancel", False)),
         may_message=bool(allowed.get("peers", False)),
         must_ask=info.get("discovery") == "on_request",
--- a/gaugehinge/terms.py
+++ b/gaugehinge/terms.py
@@ -98,7 +98,6 @@
     """What a router is told once, at its start."""
 
     seed: int
-    number: int  # of this router among its peers
     routers: int
     traffic_types: tuple[TrafficType, ...]
     tenants: tuple[Tenant, ...]
@@ -106,11 +105,9 @@
     origin_kind: str | None
     tick: float
     most_legs: int
-    drain_grace: float
     cold_from: float
     cold_time: float
     fall_time: float
-    ask_within: float
     may_cancel: bool
     may_message: bool
     must_ask: bool  # the list answers only when asked
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,6 +1,6 @@
 """Plain cases of the decisions."""
 
-from helper import MARKED, ONCE, ORIGIN, Bench, Outcome, Presence, Tenant, Verdict, origin_row, row
+from helper import MARKED, ONCE, ORIGIN, Answer, Bench, Outcome, Presence, Tenant, Verdict, origin_row, row
 
 from gaugehinge import policy
 
@@ -329,3 +329,17 @@
     for leg in first[1:]:
         assert bench.end(leg, Outcome.MISSED, 0.001)[0][1].verdict is Verdict.WAIT
     assert [entry[2].key for entry in bench.router.gate.queue] == [b"much", b"rare"]
+
+
+def test_a_lost_zone_is_set_aside_though_it_is_over_a_third_of_the_fleet():
+    bench = Bench()
+    dead, fewest = set(range(1, 6)), 8
+    for i in range(400):
+        bench.now += 0.01
+        _, answer = bench.ask(f"key-{i}")
+        while answer.leg:
+            lost = answer.leg.server.ident in dead
+            steps = bench.end(answer.leg, Outcome.NOT_CONNECTED if lost else Outcome.SETTLED, 0.001)
+            answer = steps[0][1] if steps else Answer(Verdict.NOTHING)
+        fewest = min(fewest, len(bench.router.ready))
+    assert fewest == 3
