--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -55,7 +55,7 @@
 KEEP_MEMORY = 0.96  # a beat: a few slow operations are not a slow cache
 
 # Cold caches
-THIN_SHARE = 0.9  # with less than this part of the fleet's share at work, fading caches are lifted
+THIN_SHARE = 0.7  # with less than this part of the fleet's share at work, fading caches are lifted
 RATE_KEEP = 0.97  # a bucket: about one second of memory for the rate of answered legs
 
 # Set-aside
