Caches are weighed when used and fade by the clock; the ring moves only what moved

Now only caches with a leg out or in the window are touched, and all that fades does so by the time that passed.

--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -12,6 +12,8 @@
 import zlib
 from bisect import bisect_left, insort
 from collections.abc import Iterable
+from dataclasses import dataclass, field
+from math import exp, inf
 
 from xxhash import xxh64_intdigest
 
@@ -52,11 +54,12 @@
 KEEP_LEAST = 0.2  # it keeps this part of its keys, or it could never show that it recovered
 KEEP_SLOW = 1.3  # smoothed relative latency from which it gives up keys,
 KEEP_QUICK = 1.05  # and under which it takes them back
-KEEP_MEMORY = 0.96  # a beat: a few slow operations are not a slow cache
+KEEP_MEMORY = 0.96  # a beat: a few slow operations are not a slow cache,
+KEEP_BEATS = 10.0  # and one leg stands for no more of them, however long ago the last was
 
 # Cold caches
 THIN_SHARE = 0.7  # with less than this part of the fleet's share at work, fading caches are lifted
-RATE_KEEP = 0.97  # a bucket: about one second of memory for the rate of answered legs
+RATE_MEMORY = 1.0  # seconds, for the rates of answered legs
 
 # Set-aside
 FAULT_STEP = 0.25  # what one failure adds to the fault mark, of what is left to 1
@@ -93,11 +96,13 @@
 CROWDED = 0.5  # its legs take this part of the promised time
 CROWD_KEEP = 0.8  # of that measure, a leg
 CROWD_REST = 1.0  # a crowded cache rests this many times what its last leg took, or floors alone keep it full
-BEAT = 0.1  # how often the valve moves
+BEAT = 0.1  # how often the valve moves, and budgets are refilled
+USED_KEEP = 0.95  # a beat, of a tenant's measured rate
 CALM = 0.45  # mean share of the promised time that a leg may take before the valve closes
 VALVE_RISE = 0.06
 VALVE_FALL = 0.02
-LATE_KEEP = 0.8  # a beat, of the lateness measured
+LATE_KEEP = 0.8  # of the lateness measured, a beat with legs,
+IDLE_KEEP = 0.98  # and a beat without: a sparse router must remember from leg to leg
 
 # Time
 SPARE_TICKS = 3  # kept free before the abandon time, for the answer's own way
@@ -120,78 +125,104 @@
 FAULTS = (Outcome.ERRORED, Outcome.TIMED_OUT, Outcome.UNKNOWN)
 
 
-class Kind:
-    """What this router saw of the caches that the list calls alike. One for each label in the list."""
+@dataclass(slots=True)
+class Latency:
+    """A decayed mean of legs' times, each over the mean of its traffic type.
 
-    __slots__ = ("delay", "finished")
+    It fades by the time that passed, however rarely it is looked at.
+    """
 
-    def __init__(self) -> None:
-        self.delay = 0.0
-        self.finished = 0.0
+    at: float
+    delay: float = 0.0
+    finished: float = 0.0
 
+    def add(self, delay: float, now: float) -> None:
+        self.beside(1.0, now)
+        self.delay += delay
+        self.finished += 1.0
 
-class Cache:
-    """What this router knows of one server. Emptied when the server starts anew or leaves the list."""
+    def beside(self, mean: float, now: float) -> float:
+        """The mean, with a few legs at another mean added: few legs say little."""
+        if now > self.at:
+            keep = LATENCY_KEEP ** ((now - self.at) / BUCKET)
+            self.delay *= keep
+            self.finished *= keep
+            self.at = now
+        return (self.delay + PRIOR * mean) / (self.finished + PRIOR)
+
+
+@dataclass(slots=True)
+class Rate:
+    """Events a second, remembered for about RATE_MEMORY."""
 
-    __slots__ = (
-        "ident", "kind", "zone", "cell", "started", "presence", "points", "salt", "out", "buckets", "busy",
-        "load", "multiplier", "delay", "finished", "quiet_since", "fault", "aside_until", "trial", "share",
-        "keep", "slow", "pace", "answered", "answered_at", "late", "capacity", "tokens", "origin",
-        "full_until", "walk",
-    )
-
-    def __init__(self, listing: Listing, kind: Kind, origin: bool, now: float) -> None:
-        self.ident = listing.ident
-        self.kind = kind
-        self.zone = listing.zone
-        self.cell = listing.cell
-        self.started = listing.started
-        self.presence = listing.presence
-        self.origin = origin
-        self.points = [] if origin else [xxh64_intdigest(b"%d-%d" % (self.ident, i)) for i in range(POINTS)]
-        self.pace = 0.0  # legs it answered for this router, a second
-        self.answered = 0  # since the last bucket
-        self.answered_at = now
-        self.late = 0.0  # smoothed part of the promised time that its legs take
-        self.salt = xxh64_intdigest(b"fade-%d" % self.ident)
-        self.out = 0
-        self.buckets = [0.0] * BUCKETS
-        self.busy = 0.0
-        self.load = 0.0
-        self.multiplier = 1.0
-        self.delay = 0.0  # decayed sum of finished legs' times, each over the mean of its traffic type
-        self.finished = 0.0  # decayed count of them
-        self.quiet_since = now
-        self.fault = 0.0
-        self.aside_until = 0.0
-        self.full_until = 0.0
-        self.walk = 0  # the last walk that came past
-        self.trial = 0  # settled legs still wanted, one at a time
-        self.share = 1.0  # of its keys, while it fades in
-        self.slow = 1.0  # relative latency over some seconds
-        self.keep = 1.0  # the part of its keys that it keeps while it is slower than the rest
-        self.capacity = 1.0  # the least it is stated to have by now
-        self.tokens = 1.0
+    at: float
+    value: float = 0.0
 
+    def add(self, now: float) -> None:
+        self.value = self.read(now) + 1.0 / RATE_MEMORY
+        self.at = now
+
+    def read(self, now: float) -> float:
+        return self.value * exp((self.at - now) / RATE_MEMORY)
+
+
+@dataclass(slots=True, eq=False)
+class Cache:
+    """What this router knows of one server. Emptied when the server starts anew or leaves the list."""
 
+    ident: int
+    zone: str
+    cell: int
+    started: float
+    presence: Presence
+    origin: bool
+    kind: Latency  # of the caches that the list calls alike
+    latency: Latency
+    pace: Rate  # of the legs that it answered for this router
+    answered_at: float
+    quiet_since: float
+    kept_at: float
+    salt: int
+    buckets: list[float] = field(default_factory=lambda: [0.0] * BUCKETS)
+    bucket: int = 0  # the newest, counted from the clock's zero
+    busy: float = 0.0
+    out: int = 0
+    load: float = 0.0
+    multiplier: float = 1.0
+    late: float = 0.0  # smoothed part of the promised time that its legs take
+    fault: float = 0.0
+    aside_until: float = 0.0
+    full_until: float = 0.0
+    walk: int = 0  # the last walk that came past
+    trial: int = 0  # settled legs still wanted, one at a time
+    share: float = 1.0  # of its keys, while it fades in
+    slow: float = 1.0  # relative latency over some seconds
+    keep: float = 1.0  # the part of its keys that it keeps while it is slower than the rest
+    capacity: float = 1.0  # the least it is stated to have by now
+    tokens: float = 1.0
+
+    def slide(self, bucket: int) -> None:
+        """Empty the buckets that left the window, however long ago the last look was."""
+        for n in range(max(self.bucket + 1, bucket - BUCKETS + 1), bucket + 1):
+            self.busy -= self.buckets[n % BUCKETS]
+            self.buckets[n % BUCKETS] = 0.0
+        self.bucket = bucket
+
+
+@dataclass(slots=True)
 class Gate:
     """The limit of this router's legs at the origin, and the operations that wait for a place."""
 
-    __slots__ = (
-        "limit", "out", "smooth", "floor", "next_floor", "epoch", "cut_after", "queue", "tight", "bearable",
-    )
-
-    def __init__(self, promised: float) -> None:
-        self.bearable = GATE_QUEUE * promised
-        self.limit = GATE_START
-        self.out = 0
-        self.smooth = 0.0
-        self.floor = 0.0
-        self.next_floor = 0.0
-        self.epoch = 0.0
-        self.cut_after = 0.0
-        self.queue: list[tuple[float, int, Operation]] = []  # an entry leaves on release or give-up
-        self.tight = False
+    bearable: float
+    limit: float = GATE_START
+    out: int = 0
+    smooth: float = 0.0
+    floor: float = 0.0
+    next_floor: float = 0.0
+    epoch: float = 0.0
+    cut_after: float = 0.0
+    queue: list[tuple[float, int, Operation]] = field(default_factory=list)  # left on release or give-up
+    tight: bool = False
 
     def learn(self, elapsed: float, failed: bool, used: bool, now: float) -> None:
         """A leg at the origin ended: move the limit by what it shows of a queue there."""
@@ -216,30 +247,34 @@
         self.deployment = deployment
         self.log: list[str] = []  # emptied by the door after each call
         self.caches: dict[int, Cache] = {}  # follows the list
-        self.kinds: dict[str, Kind] = {}  # as many as labels in the list
+        self.active: dict[int, Cache] = {}  # with a leg out or in the window; the others have no load
+        self.kinds: dict[str, Latency] = {}  # as many as labels in the list
         self.origin: Cache | None = None
         # A queue holds up all that pass through it: the shortest promised time is what it is held to.
         self.shortest = min((t.promised for t in deployment.traffic_types), default=1.0)
-        self.gate = Gate(self.shortest)
+        self.gate = Gate(GATE_QUEUE * self.shortest)
         self.fetches: dict[bytes, list[Operation]] = {}  # a key leaves when its fetch ends
         self.missed: dict[bytes, int] = {}  # misses by key; moved on, then dropped, each MISS_MEMORY
         self.missed_before: dict[bytes, int] = {}
         self.next_memory = now
         self.points: list[int] = []
-        self.owners: list[Cache] = []
+        self.owners: dict[int, Cache] = {}  # by point
+        self.moved: list[Cache] = []  # emptied when the ring has followed the list
+        self.fading: list[Cache] = []
+        self.next_return = inf
         self.ready: list[Cache] = []  # up and not aside, in ring order of ids
         self.total = 0.0
         self.width = 1.0  # sum of the ready shares
         self.mean_delay = 0.0
+        self.latency = Latency(now)  # of all caches
         self.next_bucket = now
         self.bucket = 0
-        self.rate = 0.0  # legs that caches answered, a second
-        self.answered = 0
+        self.rate = Rate(now)  # of the legs that caches answered
         self.thin = False
         self.counter = 0
         self.walks = 0
         self.spare = max(SPARE_TICKS * deployment.tick, 0.005)
-        self.next_beat = now
+        self.last_beat = now
         self.valve = 0.0
         self.lateness = 0.0
         self.late_sum = 0.0
@@ -374,12 +409,12 @@
         passed = hops = 0
         least = spare = None
         for i in range(start - len(points), start):
-            cache = owners[i]
+            cache = owners[points[i]]
             if cache.walk == walk:
                 continue
             cache.walk = walk
             passed += 1
-            if operation.beyond and passed == 1 and not self._has_spare_room(cache):
+            if operation.beyond and passed == 1 and not self._has_spare_room(cache, operation):
                 return None
             if self._may_take(cache, operation, key):
                 load = cache.load
@@ -396,9 +431,9 @@
                 break
         return least or spare  # a joining cache within its budget, rather than none
 
-    def _has_spare_room(self, cache: Cache) -> bool:
+    def _has_spare_room(self, cache: Cache, operation: Operation) -> bool:
         """Whether what is beyond a share may go to its home cache."""
-        room = max(cache.pace * SPARE_PART * self.shortest, SLOW_ROOM)
+        room = max(cache.pace.read(operation.asked) * SPARE_PART * self.shortest, SLOW_ROOM)
         return cache.late <= SPARE_LATE and cache.out < room
 
     def _may_join(self, cache: Cache, operation: Operation) -> bool:
@@ -415,7 +450,7 @@
             return False
         # A queue shows in what is out against what comes back long before it shows in latencies.
         least = LEAST_ROOM if cache.multiplier < SLOW and cache.late < CROWDED else SLOW_ROOM
-        if cache.out >= least and cache.out >= cache.pace * QUEUE_PART * self.shortest:
+        if cache.out >= least and cache.out >= cache.pace.read(operation.asked) * QUEUE_PART * self.shortest:
             return False
         part = cache.share * cache.keep
         if part < 1.0:
@@ -443,56 +478,40 @@
     def _weigh(self, cache: Cache) -> None:
         occupancy = cache.busy / (BUCKET * BUCKETS)
         load = (cache.out if cache.out > occupancy else occupancy) * cache.multiplier
-        if not cache.aside_until:
+        if cache.presence is Presence.UP and not cache.aside_until:
             self.total += load - cache.load
         cache.load = load
 
+    def _judge(self, cache: Cache, now: float) -> None:
+        """Slide the window of one cache and weigh its latency against that of all."""
+        cache.slide(self.bucket)
+        if cache.out and now - cache.quiet_since > max(STUCK_LEAST, STUCK_MEANS * self.mean_delay):
+            cache.multiplier = MOST_MULTIPLIER
+        else:
+            mean = self.latency.beside(1.0, now)
+            alike = cache.kind.beside(mean, now)
+            cache.multiplier = min(cache.latency.beside(alike, now) / mean, MOST_MULTIPLIER)
+        self._weigh(cache)
+
     def _turn(self, now: float) -> None:
-        """Once a bucket: slide the window, let old latencies fade, weigh all caches anew."""
-        steps = min(int((now - self.next_bucket) / BUCKET) + 1, BUCKETS)
-        self.next_bucket = max(self.next_bucket + steps * BUCKET, now)
-        keep = LATENCY_KEEP ** steps
-        span = steps * BUCKET
-        pace_keep = RATE_KEEP ** steps
-        delay = finished = 0.0
-        for kind in self.kinds.values():
-            kind.delay = kind.finished = 0.0
-        for cache in self.caches.values():
-            for n in range(1, steps + 1):
-                slot = (self.bucket + n) % BUCKETS
-                cache.busy -= cache.buckets[slot]
-                cache.buckets[slot] = 0.0
-            cache.pace += (1.0 - pace_keep) * (cache.answered / span - cache.pace)
-            cache.answered = 0
-            cache.delay *= keep
-            cache.finished *= keep
-            cache.kind.delay += cache.delay
-            cache.kind.finished += cache.finished
-            delay += cache.delay
-            finished += cache.finished
-        self.bucket = (self.bucket + steps) % BUCKETS
-        mean = (delay + PRIOR) / (finished + PRIOR)
-        self.rate += (1.0 - pace_keep) * (self.answered / span - self.rate)
-        self.answered = 0
-        self._return(now)
-        self._fade(now, span)
-        total = width = 0.0
-        silence = max(STUCK_LEAST, STUCK_MEANS * self.mean_delay)
-        for cache in self.ready:
-            if cache.out and now - cache.quiet_since > silence:
-                cache.multiplier = MOST_MULTIPLIER
-            else:
-                kind = cache.kind
-                alike = (kind.delay + PRIOR * mean) / (kind.finished + PRIOR)
-                relative = (cache.delay + PRIOR * alike) / (cache.finished + PRIOR) / mean
-                cache.multiplier = min(relative, MOST_MULTIPLIER)
-            occupancy = cache.busy / (BUCKET * BUCKETS)
-            cache.load = (cache.out if cache.out > occupancy else occupancy) * cache.multiplier
-            total += cache.load
-            width += cache.share
-        self.total = total
-        self.width = max(width, 0.01)
-        if now >= self.next_beat:
+        """Once a bucket: weigh the caches in use anew.
+
+        What fades does so by the time that really passed: counted by events, a sparse router's rates
+        and budgets came out many times too high.
+        """
+        self.bucket = int(now / BUCKET)
+        self.next_bucket = (self.bucket + 1) * BUCKET
+        if now >= self.next_return:
+            self._return(now)
+        for cache in list(self.active.values()):
+            self._judge(cache, now)
+            if not cache.out and cache.busy < 1e-9:
+                cache.busy = cache.load = 0.0
+                del self.active[cache.ident]
+        self.total = sum(
+            c.load for c in self.active.values() if c.presence is Presence.UP and not c.aside_until
+        )
+        if now - self.last_beat >= BEAT:
             self._beat(now)
 
     # ---------------------------------------------------------------- joins and cold caches
@@ -500,32 +519,31 @@
     def _fade(self, now: float, span: float) -> None:
         """The share of each joining cache, and its budget."""
         terms = self.deployment
-        fading = []
-        width = 0.0
-        for cache in self.ready:
-            if cache.share < 1.0:
-                age = max(now - cache.started, 0.0)
-                cache.share = min(age / self.fade, 1.0) ** FADE_CURVE
-                warm = min(age / terms.cold_time, 1.0) if terms.cold_time else 1.0
-                cache.capacity = terms.cold_from + (1.0 - terms.cold_from) * warm
-                if cache.share < 1.0:
-                    fading.append(cache)
-            width += cache.share
-        if not fading:
-            self._set_thin(False, width)
+        if not self.fading:
             return
-        fair = self.rate / len(self.ready)
+        width = float(len(self.ready) - len(self.fading))
+        for cache in self.fading:
+            age = max(now - cache.started, 0.0)
+            cache.share = min(age / self.fade, 1.0) ** FADE_CURVE
+            warm = min(age / terms.cold_time, 1.0) if terms.cold_time else 1.0
+            cache.capacity = terms.cold_from + (1.0 - terms.cold_from) * warm
+            width += cache.share
+        self.fading = fading = [c for c in self.fading if c.share < 1.0]
+        fair = self.rate.read(now) / len(self.ready)
         wanted = THIN_SHARE * len(self.ready)
         lift = 0.0
-        if width < wanted:
+        if width < wanted and fading:
             # Most of the fleet joins at once: the few others would drown, so the joining ones take
             # up to what they are stated to bear.
             room = sum(max(c.capacity - c.share, 0.0) for c in fading)
             lift = min((wanted - width) / room, 1.0) if room else 0.0
         for cache in fading:
-            cache.share += lift * max(cache.capacity - cache.share, 0.0)
+            raised = lift * max(cache.capacity - cache.share, 0.0)
+            cache.share += raised
+            width += raised
             most = max(1.0, fair * cache.capacity * terms.fall_time * 0.5)
             cache.tokens = min(cache.tokens + max(fair, 0.5) * cache.capacity * span, most)
+        self.width = max(width, 0.01)
         self._set_thin(lift > 0.0, width)
 
     def _set_thin(self, thin: bool, width: float) -> None:
@@ -539,16 +557,17 @@
         cache, operation = leg.server, leg.operation
         cache.out -= 1
         cache.quiet_since = now
-        cache.buckets[self.bucket] += elapsed
+        cache.slide(self.bucket)
+        cache.buckets[self.bucket % BUCKETS] += elapsed
         cache.busy += elapsed
         if outcome is Outcome.SETTLED or outcome is Outcome.MISSED:
             # Only answered legs measure what a cache can bear: turned-away ones and repeats swell with
             # an overload and would raise the budget of the cold caches just then.
-            self.answered += 1
-            cache.answered += 1
+            self.rate.add(now)
+            cache.pace.add(now)
             cache.answered_at = now
         if outcome is Outcome.SETTLED:
-            self._learn_settled(cache, operation, elapsed)
+            self._learn_settled(cache, operation, elapsed, now)
         elif outcome is Outcome.TURNED_AWAY:
             # Sent on from cache to cache, turned-away legs were most of the work of a full fleet.
             cache.full_until = now + FULL_PAUSE * (0.5 + self._chance())
@@ -557,8 +576,7 @@
             self._blame(cache, LOST_STEP, elapsed, now)
         elif outcome is Outcome.TIMED_OUT and cache.answered_at > leg.sent:
             # It answers others: it is loaded, not at fault. Set aside, it would only load the next one.
-            cache.delay += elapsed / self.mean_delay if self.mean_delay else 1.0
-            cache.finished += 1.0
+            self._learn_latency(cache, elapsed / self.mean_delay if self.mean_delay else 1.0, now)
         elif outcome in FAULTS:
             # A quick error would make its cache look light and draw more keys to it: it counts
             # against the cache and its time as at least the mean.
@@ -572,23 +590,26 @@
         if outcome is not Outcome.MISSED and outcome is not Outcome.CALLED_OFF:
             self.late_sum += 1.0 if outcome is Outcome.TURNED_AWAY else late
             self.late_count += 1
-        self._weigh(cache)
+        self._judge(cache, now)
+        self._set_keep(cache, now)
+
+    def _learn_latency(self, cache: Cache, relative: float, now: float) -> None:
+        for each in (cache.latency, cache.kind, self.latency):
+            each.add(relative, now)
 
-    def _learn_settled(self, cache: Cache, operation: Operation, elapsed: float) -> None:
+    def _learn_settled(self, cache: Cache, operation: Operation, elapsed: float, now: float) -> None:
         # Misses are left out of the mean: they come back at once and would make an empty cache
         # look like the quickest of all.
         row = operation.traffic.row
         self.work[row] += 0.02 * (elapsed - self.work[row]) if self.work[row] else max(elapsed, 1e-4)
         self.mean_delay += 0.02 * (elapsed - self.mean_delay)
-        cache.delay += elapsed / self.work[row]
-        cache.finished += 1.0
+        self._learn_latency(cache, elapsed / self.work[row], now)
         cache.fault *= FAULT_EASE
         if cache.trial:
             cache.trial -= 1
 
     def _blame(self, cache: Cache, step: float, elapsed: float, now: float) -> None:
-        cache.delay += max(elapsed / self.mean_delay, 1.0) if self.mean_delay else 1.0
-        cache.finished += 1.0
+        self._learn_latency(cache, max(elapsed / self.mean_delay, 1.0) if self.mean_delay else 1.0, now)
         cache.fault += step * (1.0 - cache.fault)
         if cache.aside_until or (cache.fault < FAULT_LIMIT and not cache.trial):
             return
@@ -598,6 +619,7 @@
         if cache.presence is not Presence.UP or (aside + 1) > most * len(self.caches):
             return  # never the whole fleet: what fails everywhere is no fault of one cache
         cache.aside_until = now + ASIDE_TIME + ASIDE_CHANCE * self._chance()
+        self.next_return = min(self.next_return, cache.aside_until)
         self.log.append(f"cache {cache.ident} aside: fault {cache.fault:.2f}, {aside + 1} aside")
         self._choose_ready()
 
@@ -607,8 +629,9 @@
             cache.aside_until = 0.0
             cache.fault = FAULT_LIMIT / 2
             cache.trial = TRIAL_WINS
-            cache.delay = cache.finished = 0.0
+            cache.latency = Latency(now)
             self.log.append(f"cache {cache.ident} back on trial")
+        self.next_return = min((c.aside_until for c in self.caches.values() if c.aside_until), default=inf)
         if back:
             self._choose_ready()
 
@@ -623,10 +646,16 @@
             if known is not None:
                 self._remove(known)
             return
+        if known is not None and listing.started <= known.started and listing.presence is known.presence:
+            return
         if known is None or listing.started > known.started:
             if known is not None:
                 self._remove(known)
-            known = Cache(listing, self.kinds.setdefault(listing.kind, Kind()), origin, now)
+            kind = self.kinds.setdefault(listing.kind, Latency(now))
+            known = Cache(
+                listing.ident, listing.zone, listing.cell, listing.started, listing.presence, origin, kind,
+                Latency(now), Rate(now), now, now, now, xxh64_intdigest(b"fade-%d" % listing.ident),
+            )
             age = now - listing.started
             if listing.started and age < self.fade:
                 known.share = 0.0
@@ -635,6 +664,7 @@
             else:
                 self.caches[listing.ident] = known
         known.presence = listing.presence
+        self.moved.append(known)
 
     def _remove(self, cache: Cache) -> None:
         cache.presence = Presence.GONE
@@ -642,12 +672,31 @@
             self.origin = None
         elif self.caches.get(cache.ident) is cache:
             del self.caches[cache.ident]
+            self.active.pop(cache.ident, None)
+            self.moved.append(cache)
 
     def _rebuild(self, now: float) -> None:
-        up = [c for c in self.caches.values() if c.presence is Presence.UP]
-        ring = sorted((p, c.ident) for c in up for p in c.points)
-        self.points = [p for p, _ in ring]
-        self.owners = [self.caches[ident] for _, ident in ring]
+        """Move the points of those that came or went; a full sort a list message is too dear."""
+        if not self.moved:
+            return
+        gone, new = set(), []
+        for ident in dict.fromkeys(c.ident for c in self.moved if not c.origin):
+            cache = self.caches.get(ident)
+            points = [xxh64_intdigest(b"%d-%d" % (ident, i)) for i in range(POINTS)]
+            if cache is None or cache.presence is not Presence.UP:
+                gone.update(points)
+                continue
+            if points[0] not in self.owners:
+                new += points
+            for point in points:
+                self.owners[point] = cache
+        if gone:
+            self.points = [p for p in self.points if p not in gone]
+            for point in gone:
+                self.owners.pop(point, None)
+        if new:
+            self.points = sorted(self.points + new)
+        self.moved.clear()
         self._choose_ready()
         self._fade(now, 0.0)
 
@@ -656,6 +705,7 @@
             self.caches[i] for i in sorted(self.caches)
             if self.caches[i].presence is Presence.UP and not self.caches[i].aside_until
         ]
+        self.fading = [c for c in self.ready if c.share < 1.0]
         self.total = sum(c.load for c in self.ready)
         self.width = max(sum(c.share for c in self.ready), 0.01)
 
@@ -690,8 +740,11 @@
 
     def _beat(self, now: float) -> None:
         """The valve: closes while legs take too much of the promised time, lowest payoff first."""
-        self.next_beat = now + BEAT
-        self._share_out(now)
+        span = now - self.last_beat
+        beats = span / BEAT
+        self.last_beat = now
+        self._fade(now, span)
+        self._share_out(now, span)
         if now >= self.next_memory:
             self.next_memory = now + MISS_MEMORY
             self.missed_before, self.missed = self.missed, {}
@@ -699,32 +752,32 @@
             self.lateness = LATE_KEEP * self.lateness + (1 - LATE_KEEP) * self.late_sum / self.late_count
             self.late_sum, self.late_count = 0.0, 0
         else:
-            self.lateness *= LATE_KEEP
-        self._set_keeps()
+            self.lateness *= IDLE_KEEP ** beats
         before = self.valve
         over = self.lateness / CALM - 1.0
-        self.valve += VALVE_RISE * min(over, 1.0) if over > 0.0 else VALVE_FALL * over
+        self.valve += VALVE_RISE * min(over, 1.0) if over > 0.0 else VALVE_FALL * over * beats
         self.valve = min(max(self.valve, 0.0), 0.95)
         if bool(before) != bool(self.valve):
             state = "closing" if self.valve else "open"
             self.log.append(f"valve {state}: legs take {self.lateness:.2f} of the promised time")
-        self._set_drops()
+        self._set_drops(beats)
 
-    def _set_keeps(self) -> None:
+    def _set_keep(self, cache: Cache, now: float) -> None:
         """A lastingly slow cache gives up keys, always the same ones, until it is as quick as the rest.
 
         The bound cannot do this for a sparse router, which rarely has two legs out at any cache.
         """
-        for cache in self.ready:
-            cache.slow += (1.0 - KEEP_MEMORY) * (cache.multiplier - cache.slow)
-            if cache.slow > KEEP_SLOW:
-                cache.keep = max(cache.keep * (1.0 - KEEP_STEP), KEEP_LEAST)
-            elif cache.keep < 1.0 and cache.slow < KEEP_QUICK:
-                cache.keep = min(cache.keep * (1.0 + KEEP_STEP), 1.0)
-
-    def _set_drops(self) -> None:
+        beats = min((now - cache.kept_at) / BEAT, KEEP_BEATS)
+        cache.kept_at = now
+        cache.slow += (1.0 - KEEP_MEMORY ** beats) * (cache.multiplier - cache.slow)
+        if cache.slow > KEEP_SLOW:
+            cache.keep = max(cache.keep * (1.0 - KEEP_STEP) ** beats, KEEP_LEAST)
+        elif cache.keep < 1.0 and cache.slow < KEEP_QUICK:
+            cache.keep = min(cache.keep * (1.0 + KEEP_STEP) ** beats, 1.0)
+
+    def _set_drops(self, beats: float) -> None:
         work = self.work
-        self.asked = [a * 0.95 for a in self.asked]
+        self.asked = [a * 0.95 ** beats for a in self.asked]
         if not self.valve:
             if any(self.drop):
                 self.drop = [0.0] * len(self.drop)
@@ -743,13 +796,13 @@
             worth /= self.work[traffic.row] or 1.0
         return worth, place
 
-    def _share_out(self, now: float) -> None:
+    def _share_out(self, now: float, span: float) -> None:
         """Refill each tenant's tokens: its allowance, cut to the part that comes through this router."""
         tenants = self.deployment.tenants
         if not tenants:
             return
         for i, count in enumerate(self.came):
-            self.used[i] += 0.05 * (count / BEAT - self.used[i])
+            self.used[i] += (1.0 - USED_KEEP ** (span / BEAT)) * (count / span - self.used[i])
             self.came[i] = 0
         heard = [rates for at, rates in self.peers.values() if now - at < PEER_STALE]
         own = sum(self.used)
@@ -759,7 +812,7 @@
                 refill = tenant.allowance * (self.used[i] / everywhere if everywhere else 1.0)
             else:
                 refill = 1.25 * tenant.share * own
-            self.tokens[i] = min(self.tokens[i] + refill * BEAT, max(2.0, refill))
+            self.tokens[i] = min(self.tokens[i] + refill * span, max(2.0, refill))
 
     # ---------------------------------------------------------------- routing, retries, the origin
 
@@ -776,7 +829,11 @@
         if not cache.out:
             cache.quiet_since = now
         cache.out += 1
-        self._weigh(cache)
+        if cache.ident not in self.active:
+            self.active[cache.ident] = cache
+            self._judge(cache, now)
+        else:
+            self._weigh(cache)
         return self._send(operation, cache, self._patience(operation, now), now)
 
     def _patience(self, operation: Operation, now: float) -> float:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -233,7 +233,7 @@
         _, answer = bench.ask(f"key-{i}")
         if answer.leg:
             bench.end(answer.leg, Outcome.TURNED_AWAY, 0.001)
-    assert bench.router.rate == 0.0
+    assert bench.router.rate.value == 0.0
 
 
 def test_an_operation_turned_away_twice_is_bounced_and_full_caches_are_passed_for_a_while():
@@ -248,7 +248,7 @@
 
 
 def test_uneven_latency_at_the_origin_is_not_taken_for_a_queue():
-    gate = policy.Gate(promised=1.0)
+    gate = policy.Gate(bearable=policy.GATE_QUEUE)
     for i in range(200):
         gate.learn(0.05 if i % 5 else 0.6, False, True, 100.0 + i)
     assert gate.limit > 2 * policy.GATE_START
@@ -343,3 +343,31 @@
             answer = steps[0][1] if steps else Answer(Verdict.NOTHING)
         fewest = min(fewest, len(bench.router.ready))
     assert fewest == 3
+
+
+def test_a_sparse_router_measures_rates_by_the_clock_not_by_its_events():
+    """Counted by events, one operation in two seconds came out as ten a second and refilled budgets so."""
+    bench = Bench(tenants=(Tenant(1.0, 50.0),))
+    for i in range(40):
+        bench.now += 2.0
+        operation, answer = bench.ask(f"key-{i}", tenant=0)
+        bench.end(answer.leg, Outcome.SETTLED, 0.02)
+    assert 0.2 < bench.router.used[0] < 0.8
+    bench.now += 1.0
+    assert 0.0 < bench.router.rate.read(bench.now) < 1.0
+    assert abs(bench.router.total - sum(c.load for c in bench.router.ready)) < 1e-9
+    bench.now += 1.0
+    bench.ask("last", tenant=0)
+    assert len(bench.router.active) == 1
+
+
+def test_the_ring_follows_the_list_as_if_it_were_made_anew():
+    bench = Bench()
+    bench.hear([row(3, Presence.DRAINING), row(20), row(4, started=bench.now)], whole=False)
+    bench.hear([row(5, Presence.GONE)], whole=False)
+    bench.hear([row(3), row(21)], whole=False)
+    fresh = Bench(caches=0)
+    fresh.hear([row(i) for i in (1, 2, 3, 4, 6, 7, 8, 20, 21)] + [origin_row()])
+    ring = [(p, bench.router.owners[p].ident) for p in bench.router.points]
+    assert ring == [(p, fresh.router.owners[p].ident) for p in fresh.router.points]
+    assert bench.router.owners[ring[0][0]] is bench.router.caches[ring[0][1]]
