--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -112,6 +112,7 @@
 ASK_AGAIN = 1.0  # first pause after a failed call to the list; doubles, with a random part
 UNANSWERED = 4.0  # a call with no answer for this long is made again
 MESSAGE_EVERY = 1.0
+MESSAGE_PEERS = 6  # told each time: all of a few routers, of hundreds a sample that does not grow with them
 PEER_STALE = 5.0  # a peer silent for this long no longer counts
 
 SCALE = float(1 << 64)
@@ -287,7 +288,8 @@
         self.used = [0.0] * tenants  # own operations of each tenant a second, smoothed
         self.came = [0] * tenants
         self.tokens = [1.0] * tenants
-        self.peers: dict[int, tuple[float, tuple[float, ...]]] = {}  # one entry a peer
+        self.peers: dict[int, tuple[float, tuple[float, ...]]] = {}  # an entry leaves when stale
+        self.elsewhere: list[float] = []  # rates of each tenant at all other routers, by those heard
         self.fade = deployment.cold_time or FADE_WINDOW
         self.list_heard = False
         self.list_failures = 0
@@ -344,7 +346,7 @@
         """How long to wait before asking again."""
         if isinstance(thing, Errand):
             return min(max(thing.due - now, 0.0), 0.5)
-        return max(self._latest(thing) - self.gate.smooth - now, self.deployment.tick)
+        return max(min(thing.prompt, thing.useful) - self.gate.smooth - now, self.deployment.tick)
 
     # ---------------------------------------------------------------- notices
 
@@ -414,7 +416,7 @@
                 continue
             cache.walk = walk
             passed += 1
-            if operation.beyond and passed == 1 and not self._has_spare_room(cache, operation):
+            if operation.beyond and passed == 1 and not self._has_spare_room(cache, now):
                 return None
             if self._may_take(cache, operation, key):
                 load = cache.load
@@ -431,9 +433,9 @@
                 break
         return least or spare  # a joining cache within its budget, rather than none
 
-    def _has_spare_room(self, cache: Cache, operation: Operation) -> bool:
+    def _has_spare_room(self, cache: Cache, now: float) -> bool:
         """Whether what is beyond a share may go to its home cache."""
-        room = max(cache.pace.read(operation.asked) * SPARE_PART * self.shortest, SLOW_ROOM)
+        room = max(cache.pace.read(now) * SPARE_PART * self.shortest, SLOW_ROOM)
         return cache.late <= SPARE_LATE and cache.out < room
 
     def _may_join(self, cache: Cache, operation: Operation) -> bool:
@@ -465,10 +467,8 @@
         """Whether a leg here cannot take effect a second time."""
         traffic = operation.traffic
         first = operation.ran_at
-        if traffic.effect is Effect.IDEMPOTENT:
-            return True
         if traffic.effect is not Effect.DEDUPLICATED:
-            return False
+            return traffic.effect is Effect.IDEMPOTENT
         return (
             traffic.group is Group.ALL
             or (traffic.group is Group.ZONE and cache.zone == first.zone)
@@ -544,12 +544,9 @@
             most = max(1.0, fair * cache.capacity * terms.fall_time * 0.5)
             cache.tokens = min(cache.tokens + max(fair, 0.5) * cache.capacity * span, most)
         self.width = max(width, 0.01)
-        self._set_thin(lift > 0.0, width)
-
-    def _set_thin(self, thin: bool, width: float) -> None:
-        if thin != self.thin:
-            self.thin = thin
-            self.log.append(f"fleet {'thin' if thin else 'whole'}: share {width:.1f} of {len(self.ready)}")
+        if self.thin is not (lift > 0.0):
+            self.thin = lift > 0.0
+            self.log.append(f"fleet {'thin' if lift else 'whole'}: share {width:.1f} of {len(self.ready)}")
 
     # ---------------------------------------------------------------- set-aside
 
@@ -804,11 +801,10 @@
         for i, count in enumerate(self.came):
             self.used[i] += (1.0 - USED_KEEP ** (span / BEAT)) * (count / span - self.used[i])
             self.came[i] = 0
-        heard = [rates for at, rates in self.peers.values() if now - at < PEER_STALE]
         own = sum(self.used)
         for i, tenant in enumerate(tenants):
-            if heard:
-                everywhere = self.used[i] + sum(rates[i] for rates in heard)
+            if self.elsewhere:
+                everywhere = self.used[i] + self.elsewhere[i]
                 refill = tenant.allowance * (self.used[i] / everywhere if everywhere else 1.0)
             else:
                 refill = 1.25 * tenant.share * own
@@ -882,13 +878,10 @@
         return self._route(operation, now)
 
     def _may_repeat(self, operation: Operation, now: float) -> bool:
-        traffic = operation.traffic
-        if traffic.effect is Effect.IDEMPOTENT:
-            return True
-        if traffic.effect is Effect.UNREPEATABLE:
-            return False
         # The repeat must arrive while the first is remembered: the margin is its way there.
-        return now + 0.5 < operation.ran_since + traffic.memory
+        traffic = operation.traffic
+        remembered = now + 0.5 < operation.ran_since + traffic.memory
+        return traffic.effect is Effect.IDEMPOTENT or (traffic.effect is Effect.DEDUPLICATED and remembered)
 
     def _ask_origin(self, operation: Operation, now: float) -> Answer:
         """A place at the origin now, a place in the queue if it is likely to come in time, or none."""
@@ -900,20 +893,18 @@
             return self._give_up(operation)
         if operation.queued:
             # Past the point where it could come in time, more waiting only delays the bounce.
-            return WAIT if now + gate.smooth < self._latest(operation) else self._give_up(operation)
+            late = now + gate.smooth >= min(operation.prompt, operation.useful)
+            return self._give_up(operation) if late else WAIT
         rank = self._rank(operation)
         if gate.out < gate.limit and (not gate.queue or rank < gate.queue[0][0]):
             return self._to_origin(operation, now)
         ahead = bisect_left(gate.queue, (rank,))
         wait = (ahead + 1) / gate.limit * gate.smooth + gate.smooth
-        if now + wait > self._latest(operation):
+        if now + wait > min(operation.prompt, operation.useful):
             return self._give_up(operation)
         self._queue(operation, rank)
         return WAIT
 
-    def _latest(self, operation: Operation) -> float:
-        return min(operation.prompt, operation.useful)
-
     def _rank(self, operation: Operation) -> float:
         """Writes first, then by payoff times the key's misses lately.
 
@@ -1033,13 +1024,30 @@
             return WAIT
         if errand.purpose is Purpose.MESSAGE:
             errand.due = now + MESSAGE_EVERY * (0.9 + 0.2 * self._chance())
-            return Answer(Verdict.TELL, None, 0.0, struct.pack(f"<{len(self.used)}f", *self.used))
+            self._sum_peers(now)
+            told = struct.pack(f"<{len(self.used)}f", *self.used)
+            return Answer(Verdict.TELL, None, 0.0, told, self._some())
         if self.list_heard:
             errand.due = now + UNANSWERED
             return WAIT
         errand.due = now + UNANSWERED
         return Answer(Verdict.FOLLOW)
 
+    def _sum_peers(self, now: float) -> None:
+        self.peers = {n: told for n, told in self.peers.items() if now - told[0] < PEER_STALE}
+        scale = (self.deployment.routers - 1) / max(len(self.peers), 1)
+        heard = [rates for _, rates in self.peers.values()]
+        self.elsewhere = [scale * sum(rates) for rates in zip(*heard, strict=True)]
+
+    def _some(self) -> tuple[int, ...]:
+        """The peers to tell this time, in turn from a place of chance."""
+        others = self.deployment.routers - 1
+        first = int(self._chance() * others)
+        return tuple(
+            (self.deployment.me + 1 + (first + i) % others) % (others + 1)
+            for i in range(min(MESSAGE_PEERS, others))
+        )
+
     def _chance(self) -> float:
         self.counter += 1
         return zlib.crc32(b"%d:%d" % (self.deployment.seed, self.counter)) / 4294967296.0
--- a/gaugehinge/simhost/host.py
+++ b/gaugehinge/simhost/host.py
@@ -125,7 +125,7 @@
             self.lines.append(f"follow\ti={self.number}\tactive=1")
         elif answer.verdict is Verdict.TELL:
             content = b64encode(answer.payload).decode()
-            self.lines.append(f"tell\ti={self.number}\tto=-1\tcontent={content}")
+            self.lines += [f"tell\ti={self.number}\tto={peer}\tcontent={content}" for peer in answer.peers]
         self._timer(errand, self.router.how_long(errand, now))
 
     def _timer(self, thing: Operation | Errand, wait: float) -> None:
--- a/gaugehinge/simhost/wire.py
+++ b/gaugehinge/simhost/wire.py
@@ -78,6 +78,7 @@
     kind = domain.get("originKind", -1)
     told = Deployment(
         seed=seed,
+        me=int(info.get("me", 0)),
         routers=int(info.get("replicasOfMe", 1)),
         traffic_types=tuple(_traffic_type(i, t) for i, t in enumerate(types)),
         tenants=tuple(
--- a/gaugehinge/terms.py
+++ b/gaugehinge/terms.py
@@ -98,6 +98,7 @@
     """What a router is told once, at its start."""
 
     seed: int
+    me: int  # this router's number among them
     routers: int
     traffic_types: tuple[TrafficType, ...]
     tenants: tuple[Tenant, ...]
@@ -181,6 +182,7 @@
     leg: Leg | None = None
     time: float = 0.0  # time-out of the leg, or how long the client should stay away
     payload: bytes = b""
+    peers: tuple[int, ...] = ()  # whom to tell
 
 
 Step = tuple[Operation, Answer]
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,5 +1,7 @@
 """Plain cases of the decisions."""
 
+import struct
+
 from helper import MARKED, ONCE, ORIGIN, Answer, Bench, Outcome, Presence, Tenant, Verdict, origin_row, row
 
 from gaugehinge import policy
@@ -371,3 +373,20 @@
     ring = [(p, bench.router.owners[p].ident) for p in bench.router.points]
     assert ring == [(p, fresh.router.owners[p].ident) for p in fresh.router.points]
     assert bench.router.owners[ring[0][0]] is bench.router.caches[ring[0][1]]
+
+
+def test_a_router_tells_a_few_peers_and_scales_up_what_it_hears():
+    bench = Bench(tenants=(Tenant(1.0, 50.0),), routers=400, me=399, may_message=True)
+    errand = bench.router.errands[-1]
+    told = set()
+    for number in range(40):
+        bench.router.hear_peer(number, struct.pack("<f", 2.0), bench.now)
+        bench.router.hear_peer(number, b"short", bench.now)
+        bench.now = errand.due
+        answer = bench.router.where(errand, bench.now)
+        assert len(set(answer.peers)) == policy.MESSAGE_PEERS and set(answer.peers) < set(range(399))
+        told.update(answer.peers)
+    assert len(told) > 100 and abs(bench.router.elsewhere[0] - 399 * 2.0) < 1e-6
+    bench.now += 2 * policy.PEER_STALE
+    bench.router.where(errand, bench.now)
+    assert not bench.router.elsewhere and not bench.router.peers
