Cold caches: no first token for each router, a refill floor that all routers share

Tokens now start at a part of chance, and the floor is divided by the count of routers told at start.

--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -59,6 +59,7 @@
 
 # Cold caches
 THIN_SHARE = 0.7  # with less than this part of the fleet's share at work, fading caches are lifted
+COLD_FLOOR = 2.5  # legs a second that all routers together try at a cold cache, however little they see
 RATE_MEMORY = 1.0  # seconds, for the rates of answered legs
 
 # Set-aside
@@ -542,7 +543,9 @@
             cache.share += raised
             width += raised
             most = max(1.0, fair * cache.capacity * terms.fall_time * 0.5)
-            cache.tokens = min(cache.tokens + max(fair, 0.5) * cache.capacity * span, most)
+            # A floor for each router, or a first token, pushes a cold cache over where there are hundreds.
+            refill = max(fair, COLD_FLOOR / terms.routers) * cache.capacity
+            cache.tokens = min(cache.tokens + refill * span, most)
         self.width = max(width, 0.01)
         if self.thin is not (lift > 0.0):
             self.thin = lift > 0.0
@@ -578,14 +581,13 @@
             # A quick error would make its cache look light and draw more keys to it: it counts
             # against the cache and its time as at least the mean.
             self._blame(cache, FAULT_STEP, elapsed, now)
-        late = min(elapsed / operation.traffic.promised, 1.5)
-        crowd = min(elapsed / self.shortest, 1.5)
-        cache.late += (1.0 - CROWD_KEEP) * (crowd - cache.late)
+        cache.late += (1.0 - CROWD_KEEP) * (min(elapsed / self.shortest, 1.5) - cache.late)
         if cache.late > CROWDED:
             # Held at even one leg from each of many routers, a crowded cache that slows down stays so.
             cache.full_until = max(cache.full_until, now + CROWD_REST * elapsed * self._chance())
         if outcome is not Outcome.MISSED and outcome is not Outcome.CALLED_OFF:
-            self.late_sum += 1.0 if outcome is Outcome.TURNED_AWAY else late
+            part = min(elapsed / operation.traffic.promised, 1.5)
+            self.late_sum += 1.0 if outcome is Outcome.TURNED_AWAY else part
             self.late_count += 1
         self._judge(cache, now)
         self._set_keep(cache, now)
@@ -655,7 +657,7 @@
             )
             age = now - listing.started
             if listing.started and age < self.fade:
-                known.share = 0.0
+                known.share, known.tokens = 0.0, self._chance()
             if origin:
                 self.origin = known
             else:
@@ -1012,8 +1014,6 @@
         ):
             return FORFEIT
         longest = self.deployment.longest_come_back
-        if not longest:
-            return Answer(Verdict.BOUNCE)
         away = longest * (0.5 + 0.5 * self._chance()) if self.valve else 0.1 + 0.2 * self._chance()
         return Answer(Verdict.BOUNCE, None, min(away, longest))
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -390,3 +390,17 @@
     bench.now += 2 * policy.PEER_STALE
     bench.router.where(errand, bench.now)
     assert not bench.router.elsewhere and not bench.router.peers
+
+
+def test_hundreds_of_routers_together_send_a_cold_cache_what_one_busy_router_may():
+    """With a first token each, 300 routers sent 300 legs at once and pushed the cache over."""
+    sent = 0
+    for seed in range(300):
+        bench = Bench(caches=4, seed=seed, routers=300)
+        bench.hear([row(i, started=bench.now) for i in range(11, 51)], whole=False)
+        bench.hear([row(i, Presence.GONE) for i in range(1, 5)], whole=False)
+        for i in range(3):
+            bench.now += 0.4
+            _, answer = bench.ask(f"key-{seed}-{i}")
+            sent += answer.verdict is Verdict.SEND
+    assert sent < 40 * 1.2 * policy.COLD_FLOOR
