Caches of one label keep keys together, in proportion to their speed beside the quickest

Latency now remembers the last legs where legs are rare, a leg counts at most five means, and the mean starts at the first leg.

--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -42,7 +42,9 @@
 BUCKET = 0.03  # the occupancy window is five of these
 BUCKETS = 5
 MOST_MULTIPLIER = 5.0  # of relative latency; also the mark of a stuck cache
-LATENCY_KEEP = 0.98  # a bucket: a sparse router needs some seconds of legs for a mean
+LATENCY_KEEP = 0.98  # a bucket: some seconds of legs make a mean,
+LEGS_KEEP = 0.9  # but a leg leaves at least this: a sparse router sees a cache once in many seconds,
+ALIKE_KEEP = 0.95  # and caches of one label, or all, somewhat more often
 PRIOR = 2.0  # legs at the mean of its like that each cache is credited with: few legs say little
 STUCK_MEANS = 4.0  # silent for so many mean latencies with legs out: stuck, not quiet
 STUCK_LEAST = 0.1  # and never judged stuck before this
@@ -50,12 +52,10 @@
 FADE_WINDOW = 30.0  # where no warm-up time is stated; else that time: by then a cache bears its share
 
 # Slow caches
-KEEP_STEP = 0.03  # a beat, how fast a slow cache gives up keys: slower than its latency can answer
 KEEP_LEAST = 0.2  # it keeps this part of its keys, or it could never show that it recovered
-KEEP_SLOW = 1.3  # smoothed relative latency from which it gives up keys,
-KEEP_QUICK = 1.05  # and under which it takes them back
+KEEP_SLOW = 1.1  # smoothed relative latency from which it gives up keys, in proportion
 KEEP_MEMORY = 0.96  # a beat: a few slow operations are not a slow cache,
-KEEP_BEATS = 10.0  # and one leg stands for no more of them, however long ago the last was
+KEEP_BEATS = 5.0  # and one leg stands for no more of them, however long ago the last was
 
 # Cold caches
 THIN_SHARE = 0.7  # with less than this part of the fleet's share at work, fading caches are lifted
@@ -78,8 +78,7 @@
 MOST_TURNED = 2  # caches that may turn one operation away before it is bounced
 
 # The origin
-GATE_START = 4.0  # low after a start: its capacity is not told
-GATE_LEAST = 4.0  # a slow origin still bears what it bore when quick: fewer legs out only starve it
+GATE_LEAST = 4.0  # the start too; a slow origin still bears what it bore: fewer legs out only starve it
 GATE_CUT = 0.75
 GATE_SLOW = 2.5  # smoothed latency over this times its floor means a queue at the origin,
 GATE_QUEUE = 0.3  # but not before it took this part of the shortest promised time: latencies vary by nature
@@ -131,25 +130,23 @@
 class Latency:
     """A decayed mean of legs' times, each over the mean of its traffic type.
 
-    It fades by the time that passed, however rarely it is looked at.
+    It fades by the time that passed, but no faster than legs come.
     """
 
     at: float
+    legs: float = LEGS_KEEP
     delay: float = 0.0
     finished: float = 0.0
+    keep: float = 1.0  # of a label in the list: the part of their keys that its caches keep
 
     def add(self, delay: float, now: float) -> None:
-        self.beside(1.0, now)
-        self.delay += delay
-        self.finished += 1.0
+        keep = max(LATENCY_KEEP ** ((now - self.at) / BUCKET), self.legs)
+        self.delay = self.delay * keep + delay
+        self.finished = self.finished * keep + 1.0
+        self.at = now
 
-    def beside(self, mean: float, now: float) -> float:
+    def beside(self, mean: float) -> float:
         """The mean, with a few legs at another mean added: few legs say little."""
-        if now > self.at:
-            keep = LATENCY_KEEP ** ((now - self.at) / BUCKET)
-            self.delay *= keep
-            self.finished *= keep
-            self.at = now
         return (self.delay + PRIOR * mean) / (self.finished + PRIOR)
 
 
@@ -216,7 +213,7 @@
     """The limit of this router's legs at the origin, and the operations that wait for a place."""
 
     bearable: float
-    limit: float = GATE_START
+    limit: float = GATE_LEAST
     out: int = 0
     smooth: float = 0.0
     floor: float = 0.0
@@ -268,7 +265,7 @@
         self.total = 0.0
         self.width = 1.0  # sum of the ready shares
         self.mean_delay = 0.0
-        self.latency = Latency(now)  # of all caches
+        self.latency = Latency(now, ALIKE_KEEP)  # of all caches
         self.next_bucket = now
         self.bucket = 0
         self.rate = Rate(now)  # of the legs that caches answered
@@ -455,7 +452,7 @@
         least = LEAST_ROOM if cache.multiplier < SLOW and cache.late < CROWDED else SLOW_ROOM
         if cache.out >= least and cache.out >= cache.pace.read(operation.asked) * QUEUE_PART * self.shortest:
             return False
-        part = cache.share * cache.keep
+        part = cache.share * cache.keep * cache.kind.keep
         if part < 1.0:
             # The draw is tied to the key: a joining cache warms with the keys that it will keep. Without
             # tokens the overflow of others' walks, or one hot key, would push a cold cache over.
@@ -489,9 +486,9 @@
         if cache.out and now - cache.quiet_since > max(STUCK_LEAST, STUCK_MEANS * self.mean_delay):
             cache.multiplier = MOST_MULTIPLIER
         else:
-            mean = self.latency.beside(1.0, now)
-            alike = cache.kind.beside(mean, now)
-            cache.multiplier = min(cache.latency.beside(alike, now) / mean, MOST_MULTIPLIER)
+            mean = self.latency.beside(1.0)
+            alike = cache.kind.beside(mean)
+            cache.multiplier = min(cache.latency.beside(alike) / mean, MOST_MULTIPLIER)
         self._weigh(cache)
 
     def _turn(self, now: float) -> None:
@@ -594,14 +591,15 @@
 
     def _learn_latency(self, cache: Cache, relative: float, now: float) -> None:
         for each in (cache.latency, cache.kind, self.latency):
-            each.add(relative, now)
+            each.add(min(relative, MOST_MULTIPLIER), now)
 
     def _learn_settled(self, cache: Cache, operation: Operation, elapsed: float, now: float) -> None:
         # Misses are left out of the mean: they come back at once and would make an empty cache
         # look like the quickest of all.
         row = operation.traffic.row
         self.work[row] += 0.02 * (elapsed - self.work[row]) if self.work[row] else max(elapsed, 1e-4)
-        self.mean_delay += 0.02 * (elapsed - self.mean_delay)
+        # From nought it would take a sparse router minutes, and each time-out looks many means long.
+        self.mean_delay += 0.02 * (elapsed - self.mean_delay) if self.mean_delay else elapsed
         self._learn_latency(cache, elapsed / self.work[row], now)
         cache.fault *= FAULT_EASE
         if cache.trial:
@@ -650,7 +648,7 @@
         if known is None or listing.started > known.started:
             if known is not None:
                 self._remove(known)
-            kind = self.kinds.setdefault(listing.kind, Latency(now))
+            kind = self.kinds.setdefault(listing.kind, Latency(now, ALIKE_KEEP))
             known = Cache(
                 listing.ident, listing.zone, listing.cell, listing.started, listing.presence, origin, kind,
                 Latency(now), Rate(now), now, now, now, xxh64_intdigest(b"fade-%d" % listing.ident),
@@ -752,6 +750,11 @@
             self.late_sum, self.late_count = 0.0, 0
         else:
             self.lateness *= IDLE_KEEP ** beats
+        # A sparse router has seen few caches of a slow kind when all of them are already overrun.
+        mean = self.latency.beside(1.0)
+        quickest = min((kind.beside(mean) for kind in self.kinds.values() if kind.finished), default=mean)
+        for kind in self.kinds.values():
+            kind.keep = min(max(KEEP_SLOW * quickest / kind.beside(mean), KEEP_LEAST), 1.0)
         before = self.valve
         over = self.lateness / CALM - 1.0
         self.valve += VALVE_RISE * min(over, 1.0) if over > 0.0 else VALVE_FALL * over * beats
@@ -768,11 +771,10 @@
         """
         beats = min((now - cache.kept_at) / BEAT, KEEP_BEATS)
         cache.kept_at = now
-        cache.slow += (1.0 - KEEP_MEMORY ** beats) * (cache.multiplier - cache.slow)
-        if cache.slow > KEEP_SLOW:
-            cache.keep = max(cache.keep * (1.0 - KEEP_STEP) ** beats, KEEP_LEAST)
-        elif cache.keep < 1.0 and cache.slow < KEEP_QUICK:
-            cache.keep = min(cache.keep * (1.0 + KEEP_STEP) ** beats, 1.0)
+        alike = cache.kind.beside(self.latency.beside(1.0))
+        relative = cache.latency.beside(alike) / alike
+        cache.slow += (1.0 - KEEP_MEMORY ** beats) * (relative - cache.slow)
+        cache.keep = min(max(KEEP_SLOW / cache.slow, KEEP_LEAST), 1.0)
 
     def _set_drops(self, beats: float) -> None:
         work = self.work
@@ -803,13 +805,12 @@
         for i, count in enumerate(self.came):
             self.used[i] += (1.0 - USED_KEEP ** (span / BEAT)) * (count / span - self.used[i])
             self.came[i] = 0
-        own = sum(self.used)
         for i, tenant in enumerate(tenants):
             if self.elsewhere:
                 everywhere = self.used[i] + self.elsewhere[i]
                 refill = tenant.allowance * (self.used[i] / everywhere if everywhere else 1.0)
             else:
-                refill = 1.25 * tenant.share * own
+                refill = 1.25 * tenant.share * sum(self.used)
             self.tokens[i] = min(self.tokens[i] + refill * span, max(2.0, refill))
 
     # ---------------------------------------------------------------- routing, retries, the origin
@@ -931,7 +932,7 @@
             return
         before = gate.limit
         gate.learn(elapsed, outcome is not Outcome.SETTLED, gate.out + 1 >= 0.5 * gate.limit, now)
-        tight = gate.limit < before or (gate.tight and gate.limit < 2 * GATE_START)
+        tight = gate.limit < before or (gate.tight and gate.limit < 2 * GATE_LEAST)
         if tight != gate.tight:
             gate.tight = tight
             self.log.append(
@@ -1027,11 +1028,8 @@
             self._sum_peers(now)
             told = struct.pack(f"<{len(self.used)}f", *self.used)
             return Answer(Verdict.TELL, None, 0.0, told, self._some())
-        if self.list_heard:
-            errand.due = now + UNANSWERED
-            return WAIT
         errand.due = now + UNANSWERED
-        return Answer(Verdict.FOLLOW)
+        return WAIT if self.list_heard else Answer(Verdict.FOLLOW)
 
     def _sum_peers(self, now: float) -> None:
         self.peers = {n: told for n, told in self.peers.items() if now - told[0] < PEER_STALE}
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -253,7 +253,7 @@
     gate = policy.Gate(bearable=policy.GATE_QUEUE)
     for i in range(200):
         gate.learn(0.05 if i % 5 else 0.6, False, True, 100.0 + i)
-    assert gate.limit > 2 * policy.GATE_START
+    assert gate.limit > 2 * policy.GATE_LEAST
 
 
 def test_an_operation_that_can_no_longer_come_in_time_does_not_wait_on():
@@ -404,3 +404,15 @@
             _, answer = bench.ask(f"key-{seed}-{i}")
             sent += answer.verdict is Verdict.SEND
     assert sent < 40 * 1.2 * policy.COLD_FLOOR
+
+
+def test_caches_of_a_slow_label_give_up_keys_before_each_was_seen():
+    bench = Bench(caches=0)
+    bench.hear([row(i, kind="old" if i % 2 else "new") for i in range(1, 41)] + [origin_row()])
+    for i in range(60):
+        bench.now += 0.2
+        _, answer = bench.ask(f"key-{i}")
+        bench.end(answer.leg, Outcome.SETTLED, 0.12 if answer.leg.server.ident % 2 else 0.03)
+    old = sum(home % 2 for home in homes(bench, 200).values())
+    assert 20 < old < 85  # of 200; alike they would take about 100
+    assert all(c.keep * c.kind.keep == 1.0 for c in bench.router.ready if c.ident % 2 == 0 and c.slow <= 1.05)
