Origin gate: many routers share its least limit, and each may have a part of a leg

A floor of four legs from each of fifty routers, timed out and asked again, kept it on work that nobody waited for. Caches were ruled out: nothing was stored, hence nothing hit. The floor is now a part of twenty legs for all routers; below one leg a read waits its turn at once or is bounced, writes pass, and the limit grows by at most a quarter a leg.

--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -76,7 +76,9 @@
 MOST_TURNED = 2  # caches that may turn one operation away before it is bounced
 
 # The origin
-GATE_LEAST = 4.0  # the start too; a slow origin still bears what it bore: fewer legs out only starve it
+GATE_LEAST = 4.0  # the start too; a slow origin still bears what it bore: fewer legs out only starve it,
+GATE_SHARED = 20.0  # but of this each of many routers has only its part, below one leg if need be
+GATE_RISE = 0.25  # of the limit at most, a leg
 GATE_CUT = 0.75
 GATE_SLOW = 2.5  # smoothed latency over this times its floor means a queue at the origin,
 GATE_QUEUE = 0.3  # but not before it took this part of the shortest promised time: latencies vary by nature
@@ -210,7 +212,9 @@
     """The limit of this router's legs at the origin, and the operations that wait for a place."""
 
     bearable: float
+    least: float = GATE_LEAST
     limit: float = GATE_LEAST
+    free_at: float = 0.0  # below one leg, reads wait for this
     out: int = 0
     smooth: float = 0.0
     floor: float = 0.0
@@ -230,10 +234,12 @@
         self.floor = min(self.floor, self.smooth)
         if failed or self.smooth > max(GATE_SLOW * self.floor, self.floor + self.bearable):
             if now >= self.cut_after:
-                self.limit = max(GATE_LEAST, self.limit * GATE_CUT)
+                self.limit = max(self.least, self.limit * GATE_CUT)
                 self.cut_after = now + self.smooth
         elif used:
-            self.limit += 2.0 / self.limit
+            self.limit += min(2.0 / self.limit, GATE_RISE * self.limit)
+        if self.limit < 1.0:
+            self.free_at = now + elapsed * (1.0 / self.limit - 1.0)
 
 
 class Router:
@@ -248,7 +254,9 @@
         self.origin: Cache | None = None
         # A queue holds up all that pass through it: the shortest promised time is what it is held to.
         self.shortest = min((t.promised for t in deployment.traffic_types), default=1.0)
-        self.gate = Gate(GATE_QUEUE * self.shortest)
+        # Four legs of each of fifty routers kept a slow origin full of work that nobody waited for any more.
+        least = min(GATE_LEAST, GATE_SHARED / deployment.routers)
+        self.gate = Gate(GATE_QUEUE * self.shortest, least, max(least, 1.0))
         self.fetches: dict[bytes, list[Operation]] = {}  # a key leaves when its fetch ends
         self.missed: dict[bytes, int] = {}  # misses by key; moved on, then dropped, each MISS_MEMORY
         self.missed_before: dict[bytes, int] = {}
@@ -888,8 +896,11 @@
             late = now + gate.smooth >= min(operation.prompt, operation.useful)
             return self._give_up(operation) if late else WAIT
         rank = self._rank(operation)
-        if gate.out < gate.limit and (not gate.queue or rank < gate.queue[0][0]):
+        room = gate.out < max(gate.limit, 1.0) and (operation.write or now >= gate.free_at)
+        if room and (not gate.queue or rank < gate.queue[0][0]):
             return self._to_origin(operation, now)
+        if gate.limit < 1.0:
+            return self._give_up(operation)
         ahead = bisect_left(gate.queue, (rank,))
         wait = (ahead + 1) / gate.limit * gate.smooth + gate.smooth
         if now + wait > min(operation.prompt, operation.useful):
@@ -921,7 +932,7 @@
             return
         before = gate.limit
         gate.learn(elapsed, outcome is not Outcome.SETTLED, gate.out + 1 >= 0.5 * gate.limit, now)
-        tight = gate.limit < before or (gate.tight and gate.limit < 2 * GATE_LEAST)
+        tight = gate.limit < before or (gate.tight and gate.limit < 2 * gate.least)
         if tight != gate.tight:
             gate.tight = tight
             self.log.append(
@@ -980,7 +991,7 @@
 
     def _release(self, steps: list[Step], now: float) -> None:
         gate = self.gate
-        while gate.queue and gate.out < gate.limit:
+        while gate.queue and gate.out < max(gate.limit, 1.0):
             operation = gate.queue[0][2]
             origin = self.origin
             if origin is None or origin.presence is not Presence.UP or now >= operation.useful:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -417,3 +417,28 @@
             steps = bench.end(answer.leg, Outcome.TIMED_OUT, 0.1)
             repeats += steps[0][1].verdict is Verdict.SEND
     assert 0 < repeats <= policy.REPEAT_MOST
+
+
+def test_where_routers_are_many_each_has_a_part_of_a_leg_at_a_failing_origin():
+    """With four legs each, fifty routers kept the origin full of work that nobody waited for any more."""
+    bench = Bench(routers=100)
+    asked = sent = 0
+    for i in range(200):
+        bench.now += 0.2
+        _, answer = bench.ask(f"key-{i}")
+        for _, step in bench.end(answer.leg, Outcome.MISSED, 0.001) if answer.leg else ():
+            asked += 1
+            if step.leg:
+                sent += 1
+                bench.end(step.leg, Outcome.TURNED_AWAY, 0.1)
+            else:
+                assert step.verdict is Verdict.BOUNCE
+    assert asked > 100 and 5 < sent < 60
+    assert bench.router.gate.limit >= policy.GATE_SHARED / 100
+    for i in range(200):
+        bench.now += 0.2
+        _, answer = bench.ask(f"again-{i}")
+        for _, step in bench.end(answer.leg, Outcome.MISSED, 0.001) if answer.leg else ():
+            if step.leg:
+                bench.end(step.leg, Outcome.SETTLED, 0.1)
+    assert bench.router.gate.limit > 1.0
