--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -44,7 +44,7 @@
 MOST_MULTIPLIER = 5.0  # of relative latency; also the mark of a stuck cache
 LATENCY_KEEP = 0.98  # a bucket: some seconds of legs make a mean,
 LEGS_KEEP = 0.9  # but a leg leaves at least this: a sparse router sees a cache once in many seconds,
-ALIKE_KEEP = 0.95  # and caches of one label, or all, somewhat more often
+ALIKE_KEEP = 0.95  # and its like somewhat more often
 PRIOR = 2.0  # legs at the mean of its like that each cache is credited with: few legs say little
 STUCK_MEANS = 4.0  # silent for so many mean latencies with legs out: stuck, not quiet
 STUCK_LEAST = 0.1  # and never judged stuck before this
@@ -58,6 +58,7 @@
 # Cold caches
 THIN_SHARE = 0.7  # with less than this part of the fleet's share at work, fading caches are lifted
 COLD_FLOOR = 2.5  # legs a second that all routers together try at a cold cache, however little they see
+COLD_PART = 0.5  # of the multiple of its capacity that is stated to push a cold cache over
 RATE_MEMORY = 1.0  # seconds, for the rates of answered legs
 
 # Set-aside
@@ -547,7 +548,7 @@
             width += raised
             most = max(1.0, fair * cache.capacity * terms.fall_time * 0.5)
             # A floor for each router, or a first token, pushes a cold cache over where there are hundreds.
-            refill = max(fair, COLD_FLOOR / terms.routers) * cache.capacity
+            refill = max(fair, COLD_FLOOR / terms.routers) * cache.capacity * COLD_PART * terms.fall_multiple
             cache.tokens = min(cache.tokens + refill * span, most)
         self.width = max(width, 0.01)
         if self.thin is not (lift > 0.0):
@@ -837,9 +838,7 @@
             return left
         usual = self.work[operation.traffic.row] or self.mean_delay
         first = PATIENCE * (min(operation.prompt, operation.useful) - now)
-        if first < 3.0 * usual or first + usual > left:
-            return left
-        return first
+        return left if first < 3.0 * usual or first + usual > left else first
 
     def _send(self, operation: Operation, cache: Cache, time_out: float, now: float) -> Answer:
         leg = Leg(operation, cache, len(operation.legs), now)
--- a/gaugehinge/simhost/wire.py
+++ b/gaugehinge/simhost/wire.py
@@ -90,6 +90,7 @@
         most_legs=int(allowed.get("mostLegs", 1)),
         cold_from=float(rules.get("coldFrom", 0.1)),
         cold_time=seconds(rules.get("coldUs", 30_000_000)),
+        fall_multiple=float(rules.get("fallMultiple", 2.0)),
         fall_time=seconds(rules.get("fallUs", 1_000_000)),
         may_cancel=bool(allowed.get("mayCancel", False)),
         may_message=bool(allowed.get("peers", False)),
--- a/gaugehinge/terms.py
+++ b/gaugehinge/terms.py
@@ -108,7 +108,8 @@
     most_legs: int
     cold_from: float
     cold_time: float
-    fall_time: float
+    fall_multiple: float  # sent more than this many times what it can do,
+    fall_time: float  # for this long, a cold cache falls over
     may_cancel: bool
     may_message: bool
     must_ask: bool  # the list answers only when asked
