Beyond a share nothing goes out while legs on the whole are late

What is beyond a share was held back by what was known of its home cache; a sparse router knows nothing of it, so hundreds sent on. The lateness of all its legs now counts too.

--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -441,7 +441,7 @@
     def _has_spare_room(self, cache: Cache, now: float) -> bool:
         """Whether what is beyond a share may go to its home cache."""
         room = max(cache.pace.read(now) * SPARE_PART * self.shortest, SLOW_ROOM)
-        return cache.late <= SPARE_LATE and cache.out < room
+        return max(cache.late, self.lateness) <= SPARE_LATE and cache.out < room
 
     def _may_join(self, cache: Cache, operation: Operation) -> bool:
         """Whether a joining cache has budget left for a key that its draw does not give it yet."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -442,3 +442,13 @@
             if step.leg:
                 bench.end(step.leg, Outcome.SETTLED, 0.1)
     assert bench.router.gate.limit > 1.0
+
+
+def test_beyond_a_share_an_unseen_cache_is_not_asked_while_legs_are_late():
+    """A sparse router has seen no single cache, and hundreds of them sent each one what nobody pays for."""
+    bench = Bench(tenants=(Tenant(1.0, 0.0),), routers=1)
+    bench.router.tokens = [0.0]
+    assert bench.ask("k", tenant=0)[1].verdict is Verdict.SEND
+    bench.router.lateness = 2 * policy.SPARE_LATE
+    assert bench.ask("other", tenant=0)[1].verdict is Verdict.BOUNCE
+    assert bench.ask("third")[1].verdict is Verdict.SEND
