A tenant's allowance may be used in runs of six

Cause: a small tenant sends a sparse router an operation in seconds, in runs of chance; a depth of two counted a good part of them beyond the share.

--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -99,6 +99,7 @@
 CROWD_REST = 1.0  # a crowded cache rests this many times what its last leg took, or floors alone keep it full
 BEAT = 0.1  # how often the valve moves, and budgets are refilled
 USED_KEEP = 0.95  # a beat, of a tenant's measured rate
+SHARE_DEPTH = 6.0  # operations of a tenant at once: few come through a sparse router, in runs of chance
 CALM = 0.45  # mean share of the promised time that a leg may take before the valve closes
 VALVE_RISE = 0.06
 VALVE_FALL = 0.02
@@ -806,7 +807,7 @@
                 refill = tenant.allowance * (self.used[i] / everywhere if everywhere else 1.0)
             else:
                 refill = 1.25 * tenant.share * sum(self.used)
-            self.tokens[i] = min(self.tokens[i] + refill * span, max(2.0, refill))
+            self.tokens[i] = min(self.tokens[i] + refill * span, max(SHARE_DEPTH, refill))
 
     # ---------------------------------------------------------------- routing, retries, the origin
 
