Labels keep keys by the square of their speed beside the quickest

Cause: what routers know of the labels (a log line) drew the ratio near one: few legs each, a prior of two, and time-outs that swell the quickest too.

--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -53,7 +53,7 @@
 
 # Slow labels
 KEEP_LEAST = 0.2  # they keep this part of their keys, or could never show that they recovered
-KEEP_SLOW = 1.1  # relative latency from which caches of one label give up keys, in proportion
+KEEP_POWER = 2  # of the quickest label's latency over theirs: alone, few legs' means draw it near one
 
 # Cold caches
 THIN_SHARE = 0.7  # with less than this part of the fleet's share at work, fading caches are lifted
@@ -762,7 +762,7 @@
         mean = self.latency.beside(1.0)
         quickest = min((kind.beside(mean) for kind in self.kinds.values() if kind.finished), default=mean)
         for kind in self.kinds.values():
-            kind.keep = min(max(KEEP_SLOW * quickest / kind.beside(mean), KEEP_LEAST), 1.0)
+            kind.keep = max((quickest / kind.beside(mean)) ** KEEP_POWER, KEEP_LEAST)
         before = self.valve
         over = self.lateness / CALM - 1.0
         self.valve += VALVE_RISE * min(over, 1.0) if over > 0.0 else VALVE_FALL * over * beats
