--- /dev/null
+++ b/gaugehinge/net/clients.py
@@ -0,0 +1,336 @@
+"""Clients: connections in, commands to operations, answers out in the order of their commands."""
+
+from __future__ import annotations
+
+import re
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+from loguru import logger
+
+from ..charter import Charter
+from ..terms import Effect, Operation
+from .dispatch import BUSY, Dispatch
+from .phase import Course, Phase
+from .pool import CHUNK, Cargo
+from .resp import ARRAY, BULK, Malformed, Message, Parser
+from .slots import Slots
+from .sockets import Stream, send_all, silent, stream
+
+MOST_PIPELINED = 32  # commands of one connection in hand; then it is not read on
+MOST_WAIT = 3600.0  # a longer `d` is taken for this
+HELD_PART = 0.2  # of the memory that values in hand may fill
+MEMORY_EACH = 64 * 1024  # for an operation in hand, with its tasks and its part of the buffers
+ROOM = 0.005  # kept before the abandon time beside the loop's lag, for the answer's own way
+WRITE_TIME = 30.0  # a client that does not take an answer for this long is cut off
+LINGER = 0.5  # after an error, for the client to read it before the connection is reset
+FIRST_WORD = 0.3  # a new connection has this long to send something before it counts as idle
+FULL_LOOK = 0.1  # how often a full door looks for idle connections to close
+PLAIN = re.compile(rb"[!-~]+")  # what may go on in an HTTP header
+
+PONG = b"+PONG\r\n"
+OK = b"+OK\r\n"
+
+
+class Refused(Exception):
+    """A command that cannot be taken, in words for the client. The connection goes on."""
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A command's place in the order of answers."""
+
+    handle: int | None = None  # of its operation, while that is in hand
+    answer: bytes | None = None
+    held: int = 0  # bytes that count against the memory
+
+
+@dataclass(slots=True, eq=False)
+class Client:
+    """One connection."""
+
+    raw: socket.socket
+    stream: Stream
+    came: float
+    slot: int = -1
+    parser: Parser = field(default_factory=Parser)
+    tickets: deque[Ticket] = field(default_factory=deque)  # answers owed, in order
+    ready: trio.Event = field(default_factory=trio.Event)  # something to write, or to end
+    room: trio.Event = field(default_factory=trio.Event)  # something was written
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    used: bool = False
+    last: bool = False  # no further command is read; it ends when all is answered
+    crowding: bool = False  # over the limit: what it asks is answered BUSY
+
+
+class Clients:
+    """All connections, within the limits."""
+
+    def __init__(
+        self, charter: Charter, course: Course, dispatch: Dispatch, most_clients: int, memory: int,
+        nursery: trio.Nursery,
+    ) -> None:
+        self.charter = charter
+        self.course = course
+        self.dispatch = dispatch
+        self.clock = dispatch.clock
+        self.most = most_clients
+        self.spare = max(most_clients // 4, 8)  # places beyond it, to say BUSY from
+        self.most_held = int(memory * HELD_PART)
+        self.most_in_hand = min(charter.most_open, memory // MEMORY_EACH)
+        self.nursery = nursery
+        self.held = 0
+        self.last_came = self.clock()
+        self.connections: Slots[Client] = Slots()  # until closed
+        self._left = trio.Event()
+        self.commands: dict[bytes, Callable[[Client, Message], bytes]] = {
+            b"PING": self._ping,
+            b"CLIENT": lambda client, message: OK,
+            b"SELECT": lambda client, message: OK,
+            b"QUIT": self._quit,
+        }
+
+    # -- connections
+
+    async def accept(self, listening: socket.socket) -> None:
+        """Take connections until cancelled. With no place left the others wait outside."""
+        while True:
+            await trio.lowlevel.wait_readable(listening)
+            if not self.accept_rest(listening):
+                await trio.sleep(FULL_LOOK)
+
+    def accept_rest(self, listening: socket.socket) -> bool:
+        """Take what has come; False where a limit is in the way."""
+        while len(self.connections) < self.most + self.spare or self._make_room():
+            try:
+                raw, _ = listening.accept()
+            except BlockingIOError:
+                return True
+            except OSError as bad:  # out of descriptors, or gone before it was taken
+                logger.warning("accept failed: {}", bad)
+                return False
+            self._take(raw)
+        return False
+
+    def _take(self, raw: socket.socket) -> None:
+        raw.setblocking(False)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        client = Client(raw, stream(raw), self.clock())
+        self.last_came = client.came
+        client.crowding = len(self.connections) >= self.most and not self._make_room()
+        client.slot = self.connections.add(client)
+        self.nursery.start_soon(self._serve, client)
+
+    def _make_room(self) -> bool:
+        """Close a connection that stands between commands; its client opens a new one at need."""
+        return any(self._hang_up(client) for client in self.connections)
+
+    def _hang_up(self, client: Client) -> bool:
+        """Close an idle connection, with nothing between the look and the close that could lose a command."""
+        if client.tickets or client.last or len(client.parser) or not silent(client.raw):
+            return False
+        if not client.used and self.clock() - client.came < FIRST_WORD:
+            return False
+        client.last = True
+        client.scope.cancel()
+        self._forget(client)
+        return True
+
+    async def _serve(self, client: Client) -> None:
+        try:
+            with client.scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._write, client)
+                    await self._read(client)
+                    if not client.last:
+                        client.scope.cancel()  # the client has gone
+        except* (OSError, trio.ClosedResourceError, trio.TooSlowError):
+            pass
+        except* Exception:  # a defect forfeits this connection alone
+            logger.exception("a client's connection failed")
+        finally:
+            self._forget(client)
+
+    def _forget(self, client: Client) -> None:
+        if self.connections.remove(client.slot) is None:
+            return
+        for ticket in client.tickets:
+            self.held -= ticket.held
+            if ticket.handle is not None:
+                self.dispatch.client_gone(ticket.handle)
+        client.tickets.clear()
+        client.stream.close()
+
+    # -- commands in
+
+    async def _read(self, client: Client) -> None:
+        """Until the client goes, or nothing more is wanted of it."""
+        while not client.last:
+            data = await client.stream.recv(CHUNK)
+            if not data:
+                return
+            client.parser.feed(data)
+            try:
+                await self._take_commands(client)
+            except Malformed as bad:
+                self._put(client, b"-ERR protocol: %b\r\n" % str(bad).encode())
+                self._end(client)
+
+    async def _take_commands(self, client: Client) -> None:
+        while not client.last:
+            while len(client.tickets) >= MOST_PIPELINED:
+                client.room = trio.Event()
+                await client.room.wait()
+            message = client.parser.next()
+            if message is None:
+                return
+            client.used = True
+            self._command(client, message)
+
+    def _command(self, client: Client, message: Message) -> None:
+        parts = message.top.body
+        if message.top.kind != ARRAY or not parts or any(p.kind != BULK or p.body is None for p in parts):
+            raise Malformed("a command is an array of bulk strings")
+        word = parts[0].body.upper()
+        if word in (b"KV.GET", b"KV.SET"):
+            self._operation(client, message, word == b"KV.SET")
+            return
+        simple = self.commands.get(word)
+        self._put(client, simple(client, message) if simple else b"-ERR unknown command\r\n")
+
+    def _ping(self, client: Client, message: Message) -> bytes:
+        phase = self.course.phase
+        return PONG if phase is Phase.READY else b"-ERR %b\r\n" % phase.name.lower().encode()
+
+    def _quit(self, client: Client, message: Message) -> bytes:
+        client.last = True
+        return OK
+
+    def _operation(self, client: Client, message: Message, write: bool) -> None:
+        try:
+            operation, cargo = self._read_operation(message, write)
+        except Refused as bad:
+            self._put(client, b"-ERR %b\r\n" % str(bad).encode())
+            return
+        held = len(message.raw)
+        full = self.held + held > self.most_held or len(self.dispatch.exchanges) >= self.most_in_hand
+        if client.crowding or full:
+            self._put(client, BUSY)  # it never ran
+            if client.crowding:
+                self._end(client)
+            return
+        ticket = Ticket(held=held)
+        self.held += held
+        client.tickets.append(ticket)
+
+        def answer(reply: bytes) -> None:
+            ticket.handle = None
+            ticket.answer = reply
+            self.held += len(reply) - ticket.held
+            ticket.held = len(reply)
+            client.ready.set()
+
+        handle = self.dispatch.submit(operation, cargo, answer)
+        if ticket.answer is None:
+            ticket.handle = handle
+
+    def _read_operation(self, message: Message, write: bool) -> tuple[Operation, Cargo]:
+        parts = message.top.body
+        if len(parts) != 4 + write:
+            raise Refused("wrong number of arguments")
+        key, ident, told = parts[1].body, parts[2].body, parts[3].body
+        if not PLAIN.fullmatch(ident) or not PLAIN.fullmatch(told):
+            raise Refused("id and labels must be plain text")
+        labels, gap = read_labels(told)
+        row = self.charter.types.get(labels.get("c", ""))
+        if row is None:
+            raise Refused("label c: no such class")
+        wait = labels.get("d", "")
+        if not wait.isdigit() or len(wait) > 12:
+            raise Refused("label d: not a number of milliseconds")
+        traffic = self.charter.deployment.traffic_types[row]
+        if traffic.effect is Effect.DEDUPLICATED and write and not labels.get("k"):
+            # With no mark its repeats could not be recognised, and it may be repeated here.
+            raise Refused("label k: missing")
+        now = self.clock()
+        room = ROOM + self.dispatch.deadlines.lag
+        operation = Operation(
+            0, traffic, key, self.charter.tenants.get(labels.get("t", ""), -1), write,
+            labels.get("r") == "1", now, now + min(int(wait) / 1000.0, MOST_WAIT) - room,
+        )
+        cargo = Cargo(
+            ident, key, gap, told, message.raw[:parts[3].start], message.raw[parts[3].end:],
+            parts[4].body if write else None,
+        )
+        return operation, cargo
+
+    # -- answers out
+
+    def _put(self, client: Client, answer: bytes) -> None:
+        client.tickets.append(Ticket(answer=answer))
+        client.ready.set()
+
+    def _end(self, client: Client) -> None:
+        """Read no more; the connection closes when all is answered."""
+        client.last = True
+        client.ready.set()
+
+    async def _write(self, client: Client) -> None:
+        """Answers in the order of their commands, then the end where one is wanted."""
+        while not client.last or client.tickets:
+            if client.tickets and client.tickets[0].answer is not None:
+                await self._write_one(client)
+                continue
+            await client.ready.wait()
+            client.ready = trio.Event()
+        await self._linger(client)
+        client.scope.cancel()
+
+    async def _write_one(self, client: Client) -> None:
+        ticket = client.tickets[0]
+        with trio.fail_after(WRITE_TIME):
+            await send_all(client.stream, ticket.answer)
+        client.tickets.popleft()
+        self.held -= ticket.held
+        client.room.set()
+        if self.course.phase is Phase.LEAVING:
+            self._hang_up(client)
+
+    @staticmethod
+    async def _linger(client: Client) -> None:
+        """Closed with bytes unread, the connection is reset and the last answer may be lost with it."""
+        if silent(client.raw):
+            return
+        client.stream.shutdown(socket.SHUT_WR)
+        with trio.move_on_after(LINGER):
+            while await client.stream.recv(CHUNK):
+                pass
+
+    # -- leaving
+
+    def leave(self) -> None:
+        """Close what stands between commands; called again until all are gone."""
+        for client in self.connections:
+            self._hang_up(client)
+
+
+def read_labels(told: bytes) -> tuple[dict[str, str], tuple[bytes, bytes]]:
+    """The list of names and values, and what stands before and behind the figure of `d`."""
+    labels: dict[str, str] = {}
+    gap = None
+    place = 0
+    for part in told.split(b","):
+        name, mark, value = part.partition(b"=")
+        if not mark or not name or name.decode() in labels:
+            raise Refused("labels are names and values")
+        labels[name.decode()] = value.decode()
+        end = place + len(part)
+        if name == b"d":
+            gap = told[:end - len(value)], told[end:]
+        place = end + 1
+    if gap is None:
+        raise Refused("label d: missing")
+    return labels, gap
--- /dev/null
+++ b/gaugehinge/net/deadlines.py
@@ -0,0 +1,96 @@
+"""All that falls due, in one heap: leg time-outs, waits, abandon times, errands. Measures the loop's lag."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from heapq import heapify, heappop, heappush
+from typing import Any
+
+import trio
+from loguru import logger
+
+SAMPLE_EVERY = 0.05  # how often the lag is looked at, even with nothing due
+LAG_KEEP = 0.99  # a sample: a long lag is remembered for some seconds
+MOST_LAG = 0.25  # room for more than this would give up operations that could be settled
+SPARSE = 64  # a heap this small is not worth cleaning
+
+
+class Clock:
+    """Unix time set once at the start and monotonic from there: `boot_ms` compares, and no step is felt."""
+
+    def __init__(self) -> None:
+        self._base = time.time() - time.monotonic()
+
+    def __call__(self) -> float:
+        return self._base + time.monotonic()
+
+
+@dataclass(slots=True, eq=False)
+class Due:
+    """Something to do at a time."""
+
+    action: Callable[..., Any] | None
+    given: tuple[Any, ...]
+
+
+class Deadlines:
+    """The heap; entries leave it when due, or when most of it is dropped ones."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.lag = 0.0
+        self._heap: list[tuple[float, int, Due]] = []
+        self._counter = 0
+        self._dropped = 0
+        self._sooner = trio.Event()
+
+    def __len__(self) -> int:
+        return len(self._heap)
+
+    def at(self, when: float, action: Callable[..., Any], *given: Any) -> Due:
+        due = Due(action, given)
+        self._counter += 1
+        if not self._heap or when < self._heap[0][0]:
+            self._sooner.set()
+        heappush(self._heap, (when, self._counter, due))
+        return due
+
+    def drop(self, due: Due) -> None:
+        """Not wanted any more. Most time-outs never fall due: left in, they would outnumber the others."""
+        if due.action is None:
+            return
+        due.action, due.given = None, ()
+        self._dropped += 1
+        if self._dropped > SPARSE and 2 * self._dropped > len(self._heap):
+            self._heap = [entry for entry in self._heap if entry[2].action is not None]
+            heapify(self._heap)
+            self._dropped = 0
+
+    async def run(self) -> None:
+        """Do what falls due, until cancelled."""
+        sample = self.clock() + SAMPLE_EVERY
+        while True:
+            self._sooner = trio.Event()
+            until = min(self._heap[0][0], sample) if self._heap else sample
+            with trio.move_on_after(max(until - self.clock(), 0.0)):
+                await self._sooner.wait()
+            now = self.clock()
+            if now >= sample:
+                self.lag = max(min(now - sample, MOST_LAG), self.lag * LAG_KEEP)
+                sample = now + SAMPLE_EVERY
+            self._work_off(now)
+
+    def _work_off(self, now: float) -> None:
+        while self._heap and self._heap[0][0] <= now:
+            due = heappop(self._heap)[2]
+            if due.action is None:
+                self._dropped -= 1
+                continue
+            action, given = due.action, due.given
+            due.action, due.given = None, ()
+            try:
+                action(*given)
+            except Exception:  # one thing that fails must not take the others' deadlines with it
+                logger.exception("a deadline's action failed")
--- /dev/null
+++ b/gaugehinge/net/discovery.py
@@ -0,0 +1,167 @@
+"""Discovery over HTTP: a watch that follows the list of servers, and the list's form in JSON."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+import h11
+import trio
+from loguru import logger
+from xxhash import xxh64_intdigest
+
+from ..charter import BadCharter, Page, parse
+from ..terms import Listing, Presence
+from .berth import Address, address
+from .origin import Answer, parser, read_answer, request
+from .pool import Broken
+from .sockets import send_all, stream, tcp
+
+PRESENCES = {"ready": Presence.UP, "draining": Presence.DRAINING, "gone": Presence.GONE}
+PATH = "/discovery/hosts"
+MOST_LIST = 4 << 20  # bytes of an answer
+FIRST_WAIT = 0.5  # of a watch: soon known to be held, it need not be asked for again
+WAIT = 5.0  # of its further calls: a discovery that fell silent is noticed after this and
+SILENCE = 3.0  # so much over the wait of a call
+
+
+class Target(NamedTuple):
+    """One server of the list and where it is reached."""
+
+    listing: Listing
+    endpoint: Address | None  # None: gone
+
+
+@dataclass(slots=True, frozen=True)
+class Bulletin:
+    """The list, or what changed of it."""
+
+    rev: int
+    whole: bool
+    targets: tuple[Target, ...]
+
+
+def read_bulletin(told: Any) -> Bulletin:
+    """Discovery's JSON to a list; one bad entry spoils it, as a failed call would."""
+    page = Page(told)
+    page.row("targets")
+    return Bulletin(
+        int(page.number("rev")), page.flag("all"), tuple(_target(entry) for entry in page.pages("targets")),
+    )
+
+
+def _target(entry: Page) -> Target:
+    # An unknown state may mean anything: nothing new is sent there.
+    presence = PRESENCES.get(entry.text("state", "ready"), Presence.DRAINING)
+    gone = presence is Presence.GONE
+    where = None if gone else address(entry.text("endpoint"), f"{entry.path}.endpoint")
+    # The ring must be alike at all routers: only `uid` is the same at each of them.
+    ident = xxh64_intdigest(entry.text("uid").encode())
+    started = entry.number("boot_ms", 0) / 1000.0
+    cell = int(entry.number("pod_group", 0, least=-1))
+    listing = Listing(ident, entry.text("az", ""), entry.text("model", ""), cell, presence, started)
+    return Target(listing, where)
+
+
+class Watch:
+    """One watch and its connection."""
+
+    def __init__(self, where: Address) -> None:
+        self.where = where
+        self._raw: socket.socket | None = None
+        self._talk = parser()
+
+    async def call(self, target: str, most_time: float) -> Bulletin | None:
+        """The list that a GET brings; None where the call fails. Raises BadCharter on a bad one."""
+        body = None
+        with trio.move_on_after(most_time) as limit:
+            body = await self._fetch(target)
+        if limit.cancelled_caught or body is None:
+            self.hang_up()
+            return None
+        try:
+            return read_bulletin(parse(body.decode()))
+        except UnicodeDecodeError:
+            raise BadCharter("the whole: not UTF-8") from None
+
+    async def _fetch(self, target: str) -> bytes | None:
+        while True:
+            fresh = self._raw is None
+            try:
+                answer = await self._get(target)
+            except (OSError, Broken, h11.LocalProtocolError):
+                self.hang_up()
+                if fresh:
+                    return None
+                continue  # it closed between two calls
+            if not answer.keep:
+                self.hang_up()
+            return answer.body if answer.status == 200 else None
+
+    async def _get(self, target: str) -> Answer:
+        """A GET, on the connection of the last call if that is still there."""
+        if self._raw is None:
+            self._raw = tcp(self.where)
+            self._talk = parser()
+            await stream(self._raw).connect(self.where)
+        host = f"{self.where[0]}:{self.where[1]}".encode()
+        await send_all(stream(self._raw), request(self._talk, "GET", target, [("Host", host)]))
+        return await read_answer(stream(self._raw), self._talk, MOST_LIST)
+
+    def hang_up(self) -> None:
+        if self._raw is not None:
+            self._raw.close()
+        self._raw = None
+
+
+class Discovery:
+    """Holds one watch at a time."""
+
+    def __init__(
+        self, nursery: trio.Nursery, where: Address, rev: int | None,
+        heard: Callable[[Bulletin], None], failed: Callable[[], None],
+    ) -> None:
+        self.nursery = nursery
+        self.where = where
+        self.rev = rev
+        self.heard = heard
+        self.failed = failed
+        self._watching: trio.CancelScope | None = None
+
+    def follow(self) -> None:
+        """Begin a watch, in place of one that has not answered."""
+        if self._watching is not None:
+            self._watching.cancel()
+        self._watching = trio.CancelScope()
+        self.nursery.start_soon(self._follow, self._watching)
+
+    async def _follow(self, scope: trio.CancelScope) -> None:
+        watch = Watch(self.where)
+        try:
+            with scope:
+                await self._watch(watch)
+                self.failed()
+        except Exception:
+            logger.exception("a watch failed")
+            self.failed()
+        finally:
+            watch.hang_up()
+
+    async def _watch(self, watch: Watch) -> None:
+        """Call after call, until one fails."""
+        wait = FIRST_WAIT
+        while True:
+            target = PATH if self.rev is None else f"{PATH}?index={self.rev}&wait={int(wait * 1000)}"
+            try:
+                bulletin = await watch.call(target, wait + SILENCE)
+            except BadCharter as bad:
+                logger.warning("bad list: {}", bad)
+                self.rev = None  # changes on top of what was not understood would not add up
+                return
+            if bulletin is None:
+                return
+            self.rev = bulletin.rev
+            self.heard(bulletin)
+            wait = WAIT
--- /dev/null
+++ b/gaugehinge/net/dispatch.py
@@ -0,0 +1,205 @@
+"""Sole caller of the decision module: tells it what happened, carries out its answers. Decides nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from loguru import logger
+
+from ..policy import Router
+from ..terms import Answer, Deployment, Errand, Leg, Operation, Outcome, Verdict
+from .deadlines import Deadlines, Due
+from .discovery import Bulletin
+from .origin import OriginDialect
+from .pool import Cargo, Pool, RespDialect
+from .slots import Slots
+
+FAILED = b"-ERR failed\r\n"
+BUSY = b"-BUSY\r\n"
+GRACE = 0.005  # after the abandon time, which the module keeps by itself, and still before the client's own
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """An operation in hand: what the client sent and where its answer goes."""
+
+    operation: Operation
+    cargo: Cargo
+    answer: Callable[[bytes], None]
+    wait: Due | None = None  # when the module wants to be asked again
+    overdue: Due | None = None
+    answered: bool = False
+
+
+class Dispatch:
+    """Operations in hand, by slot, and the calls on the module."""
+
+    def __init__(self, deployment: Deployment, deadlines: Deadlines) -> None:
+        self.deadlines = deadlines
+        self.clock = deadlines.clock
+        self.router = Router(deployment, self.clock())
+        self.exchanges: Slots[Exchange] = Slots()  # until answered and all legs in
+        self.resp = RespDialect()
+        self.http = OriginDialect()
+        self.pool: Pool
+        self.follow: Callable[[], None]
+        self.tell: Callable[[tuple[int, ...], bytes], None]
+
+    def bind(
+        self, pool: Pool, follow: Callable[[], None], tell: Callable[[tuple[int, ...], bytes], None],
+    ) -> None:
+        """The ways out."""
+        self.pool, self.follow, self.tell = pool, follow, tell
+
+    def begin(self) -> None:
+        """The errands begin."""
+        for errand in self.router.errands:
+            self._errand(errand)
+
+    # -- operations
+
+    def submit(self, operation: Operation, cargo: Cargo, answer: Callable[[bytes], None]) -> int:
+        """Take an operation; `answer` gets its one final answer, perhaps at once. Returns its handle."""
+        exchange = Exchange(operation, cargo, answer)
+        handle = operation.ident = self.exchanges.add(exchange)
+        exchange.overdue = self.deadlines.at(operation.abandon + GRACE, self._overdue, handle)
+        self._ask(exchange)
+        return handle
+
+    def client_gone(self, handle: int) -> None:
+        """Nobody waits for the answer any more."""
+        exchange = self.exchanges.get(handle)
+        if exchange is not None and not exchange.answered:
+            exchange.answered = True
+            self._give_up(exchange)
+
+    def leg_ended(self, leg: Leg, outcome: Outcome, elapsed: float, value: bytes | None) -> None:
+        """A leg's outcome. The first value settles its operation."""
+        exchange = self.exchanges.get(leg.operation.ident)
+        over = leg.operation.over or outcome is Outcome.SETTLED
+        if exchange is not None and outcome is Outcome.SETTLED and not leg.operation.over:
+            self._answer(exchange, value)
+        try:
+            steps = self.router.after(leg, outcome, elapsed, over, self.clock())
+        except Exception:
+            logger.exception("a leg's outcome failed in the decisions")
+            leg.out = False
+            steps = [(leg.operation, Answer(Verdict.FORFEIT))]
+        for operation, answer in steps:
+            self._do(self.exchanges.get(operation.ident), answer)
+        if exchange is not None:
+            self._drop(exchange)
+        self._flush_log()
+
+    def _wake(self, handle: int) -> None:
+        exchange = self.exchanges.get(handle)
+        if exchange is not None and not exchange.operation.over:
+            self._ask(exchange)
+
+    def _ask(self, exchange: Exchange) -> None:
+        try:
+            answer = self.router.where(exchange.operation, self.clock())
+        except Exception:  # it forfeits this operation, not the router
+            logger.exception("an operation failed in the decisions")
+            answer = Answer(Verdict.FORFEIT)
+        self._do(exchange, answer)
+        self._flush_log()
+
+    def _overdue(self, handle: int) -> None:
+        """Its time is over with no answer given: a mistake, which must not also become a lost operation."""
+        exchange = self.exchanges.get(handle)
+        if exchange is not None and not exchange.answered:
+            logger.error("operation {} was overdue", exchange.cargo.ident)
+            self._answer(exchange, FAILED)
+            self._give_up(exchange)
+
+    def _give_up(self, exchange: Exchange) -> None:
+        try:
+            for leg in self.router.gone(exchange.operation):
+                self.pool.call_off(leg)
+        except Exception:
+            logger.exception("giving an operation up failed in the decisions")
+            exchange.operation.over = True
+        self._drop(exchange)
+
+    # -- the module's answers
+
+    def _do(self, exchange: Exchange | None, answer: Answer) -> None:
+        if exchange is None:
+            return
+        verdict = answer.verdict
+        if verdict is Verdict.SEND:
+            dialect = self.http if answer.leg.server.origin else self.resp
+            self.pool.send(answer.leg, exchange.cargo, answer.time, dialect)
+        elif verdict is Verdict.WAIT:
+            now = self.clock()
+            handle = exchange.operation.ident
+            if exchange.wait is not None:
+                self.deadlines.drop(exchange.wait)
+            wait = self.router.how_long(exchange.operation, now)
+            exchange.wait = self.deadlines.at(now + wait, self._wake, handle)
+        elif verdict is Verdict.BOUNCE:
+            self._answer(exchange, b"-BUSY %d\r\n" % (answer.time * 1000) if answer.time else BUSY)
+        elif verdict is Verdict.FORFEIT:
+            self._answer(exchange, FAILED)
+        self._drop(exchange)
+
+    def _answer(self, exchange: Exchange, reply: bytes) -> None:
+        if exchange.answered:
+            return
+        exchange.answered = True
+        exchange.operation.over = True
+        exchange.answer(reply)
+
+    def _drop(self, exchange: Exchange) -> None:
+        operation = exchange.operation
+        if not operation.over or any(leg.out for leg in operation.legs):
+            return
+        if self.exchanges.remove(operation.ident) is not None:
+            for due in (exchange.wait, exchange.overdue):
+                if due is not None:
+                    self.deadlines.drop(due)
+
+    # -- the list, peers, errands
+
+    def hear_list(self, bulletin: Bulletin, held: bool = False) -> None:
+        named = set()
+        for listing, endpoint in bulletin.targets:
+            named.add(listing.ident)
+            if endpoint is None:
+                self.pool.drop_place(listing.ident)
+            else:
+                self.pool.settle_place(listing.ident, endpoint, listing.started)
+        if bulletin.whole:
+            for ident in [ident for ident in self.pool.places if ident not in named]:
+                self.pool.drop_place(ident)
+        listings = [target.listing for target in bulletin.targets]
+        self.router.hear_list(listings, bulletin.whole, held, self.clock())
+        self._flush_log()
+
+    def list_failed(self) -> None:
+        self.router.list_failed(self.clock())
+        self._flush_log()
+
+    def hear_peer(self, number: int, payload: bytes) -> None:
+        self.router.hear_peer(number, payload, self.clock())
+
+    def _errand(self, errand: Errand) -> None:
+        wait = 1.0  # after a mistake; the errand must not end with it
+        try:
+            answer = self.router.where(errand, self.clock())
+            if answer.verdict is Verdict.FOLLOW:
+                self.follow()
+            elif answer.verdict is Verdict.TELL:
+                self.tell(answer.peers, answer.payload)
+            wait = self.router.how_long(errand, self.clock())
+        except Exception:
+            logger.exception("an errand failed")
+        self.deadlines.at(self.clock() + max(wait, 0.001), self._errand, errand)
+        self._flush_log()
+
+    def _flush_log(self) -> None:
+        for text in self.router.log:
+            logger.info(text)
+        self.router.log.clear()
--- /dev/null
+++ b/gaugehinge/net/phase.py
@@ -0,0 +1,27 @@
+"""The phases of a router, from its start to its exit, as states of one object."""
+
+from __future__ import annotations
+
+from enum import Enum, auto
+
+from loguru import logger
+
+
+class Phase(Enum):
+    """Where a router is on its course."""
+
+    STARTING = auto()  # no list yet: connections are taken, PING is not answered with PONG
+    READY = auto()
+    LEAVING = auto()  # told to end: what comes is still taken, what is idle is closed
+    ENDED = auto()
+
+
+class Course:
+    """The one place where the phase stands."""
+
+    def __init__(self) -> None:
+        self.phase = Phase.STARTING
+
+    def enter(self, phase: Phase, in_hand: int) -> None:
+        self.phase = phase
+        logger.info("{}: {} operations in hand", phase.name.lower(), in_hand)
--- /dev/null
+++ b/gaugehinge/net/service.py
@@ -0,0 +1,124 @@
+"""The router as a whole, from its start to its end, and the nurseries that its parts live in."""
+
+from __future__ import annotations
+
+import signal
+import socket
+
+import trio
+from loguru import logger
+
+from ..charter import BadCharter
+from ..terms import Presence
+from .berth import Berth
+from .clients import Clients
+from .deadlines import Clock, Deadlines
+from .discovery import Bulletin, Discovery, read_bulletin
+from .dispatch import Dispatch
+from .peers import Peers
+from .phase import Course, Phase
+from .pool import Pool
+from .sockets import listener
+
+CLIENT_PART = 0.4  # of the descriptors, with a quarter of that again to answer BUSY from
+LINE_PART = 0.4  # lines to servers; the rest is for listeners, discovery, peers and the interpreter
+BACKLOG = 512
+START_TIME = 2.0  # with no list kept from before, clients are let in after this at the latest
+STILL_COMING = 0.5  # new connections go on coming for less than this after the signal
+LEAVE_TIME = 10.0  # longer than any operation; what is in hand then is stuck
+LOOK_EVERY = 0.02
+
+
+class Service:
+    """One router."""
+
+    def __init__(self, berth: Berth) -> None:
+        self.berth = berth
+        self.course = Course()
+        self.clock = Clock()
+        self.deadlines = Deadlines(self.clock)
+        self.dispatch = Dispatch(berth.charter.deployment, self.deadlines)
+        self.clients: Clients
+        self.listening: socket.socket
+
+    async def run(self) -> None:
+        """Until told to leave and all in hand is answered."""
+        berth = self.berth
+        self.listening = listener(berth.listen, BACKLOG)
+        peers = Peers(berth.peer_listen, berth.peers) if berth.peer_listen else None
+        async with trio.open_nursery() as nursery:
+            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                known = self._known()
+                pool = Pool(
+                    nursery, self.deadlines, int(berth.sockets * LINE_PART), berth.charter.connect_time,
+                    berth.charter.idle_time, self.dispatch.leg_ended,
+                )
+                discovery = Discovery(
+                    nursery, berth.discovery, known and known.rev, self._hear_list, self.dispatch.list_failed,
+                )
+                self.dispatch.bind(pool, discovery.follow, peers.tell if peers else lambda *told: None)
+                if known is not None:
+                    self.dispatch.hear_list(known, held=True)
+                self.dispatch.begin()
+                self.clients = Clients(
+                    berth.charter, self.course, self.dispatch, int(berth.sockets * CLIENT_PART), berth.memory,
+                    nursery,
+                )
+                nursery.start_soon(self.deadlines.run)
+                if peers is not None:
+                    nursery.start_soon(peers.hear, self.dispatch.hear_peer)
+                accepting = trio.CancelScope()
+                nursery.start_soon(self._accept, accepting)
+                if known is not None and any(t.listing.presence is Presence.UP for t in known.targets):
+                    self._enter(Phase.READY)
+                else:
+                    self.deadlines.at(self.clock() + START_TIME, self._ready)
+                async for _ in signals:
+                    break
+                await self._leave(accepting)
+            nursery.cancel_scope.cancel()
+        self._enter(Phase.ENDED)
+
+    def _known(self) -> Bulletin | None:
+        """The list that this router had before; a bad one is as none."""
+        if self.berth.known is None:
+            return None
+        try:
+            return read_bulletin(self.berth.known)
+        except BadCharter as bad:
+            logger.warning("known list not used: {}", bad)
+            return None
+
+    def _hear_list(self, bulletin: Bulletin) -> None:
+        self.dispatch.hear_list(bulletin)
+        self._ready()
+
+    def _ready(self) -> None:
+        if self.course.phase is Phase.STARTING:
+            self._enter(Phase.READY)
+
+    def _enter(self, phase: Phase) -> None:
+        self.course.enter(phase, len(self.dispatch.exchanges))
+
+    async def _accept(self, scope: trio.CancelScope) -> None:
+        with scope:
+            await self.clients.accept(self.listening)
+
+    async def _leave(self, accepting: trio.CancelScope) -> None:
+        """Take what still comes, answer all in hand, close what stands idle."""
+        self._enter(Phase.LEAVING)
+        clients = self.clients
+        began = self.clock()
+        while self.clock() - max(clients.last_came, began) < STILL_COMING and not self._stuck(began):
+            clients.leave()
+            await trio.sleep(LOOK_EVERY)
+        accepting.cancel()
+        await trio.lowlevel.checkpoint()
+        clients.accept_rest(self.listening)  # what the machine has taken already
+        self.listening.close()
+        while (len(clients.connections) or len(self.dispatch.exchanges)) and not self._stuck(began):
+            clients.leave()
+            await trio.sleep(LOOK_EVERY)
+
+    def _stuck(self, began: float) -> bool:
+        return self.clock() - began > LEAVE_TIME
--- a/gaugehinge/simhost/host.py
+++ b/gaugehinge/simhost/host.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 from typing import TextIO
 
+from ..charter import charter, parse
 from ..policy import Router
 from ..terms import Answer, Errand, Leg, Listing, Operation, Outcome, Verdict
 from . import wire
@@ -22,13 +23,14 @@
 
     def __init__(self, number: str, values: dict[str, str], now: float, lines: list[str]) -> None:
         self.number = number
-        told, self.types, self.tenants = wire.deployment(int(values["randomSeed"]), values["info"])
-        self.table = told.traffic_types
+        told = charter(int(values["randomSeed"]), parse(values["info"]))
+        self.types, self.tenants = told.types, told.tenants
+        self.table = told.deployment.traffic_types
         self.operations: dict[str, Operation] = {}  # until over and all legs in
         self.timers: dict[int, Operation | Errand] = {}  # until due
         self.next_timer = 0
         self.lines = lines
-        self.router = Router(told, now)
+        self.router = Router(told.deployment, now)
         self.timed = False
 
     def start(self, now: float) -> None:
--- a/gaugehinge/terms.py
+++ b/gaugehinge/terms.py
@@ -133,7 +133,7 @@
 class Operation:
     """One try of a client. The upper part is the door's, the lower the module's."""
 
-    ident: str
+    ident: str | int
     traffic: TrafficType
     key: bytes
     tenant: int  # place in the table of tenants, -1 without
