A connection over the limit is closed only when nothing more stands in it

Checked: 217 descriptors at once, so the door was over its share for clients; no stop, no error in the logs at that time, so not the leaving path. At fault: clients.py, where a crowding connection read no more after its BUSY, and the lingering end threw away a command that had come meanwhile. Now it is closed like an idle one, by a look and a close with nothing between. Test: three commands at once on each of forty connections over the limit (fails before).

--- a/gaugehinge/net/clients.py
+++ b/gaugehinge/net/clients.py
@@ -64,7 +64,7 @@
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     used: bool = False
     last: bool = False  # no further command is read; it ends when all is answered
-    crowding: bool = False  # over the limit: what it asks is answered BUSY
+    crowding: bool = False  # over the limit: what it asks is answered BUSY, and then it is closed
 
 
 class Clients:
@@ -217,11 +217,10 @@
             self._put(client, b"-ERR %b\r\n" % str(bad).encode())
             return
         held = len(message.raw)
+        client.crowding = client.crowding and len(self.connections) > self.most
         full = self.held + held > self.most_held or len(self.dispatch.exchanges) >= self.most_in_hand
         if client.crowding or full:
             self._put(client, BUSY)  # it never ran
-            if client.crowding:
-                self._end(client)
             return
         ticket = Ticket(held=held)
         self.held += held
@@ -298,7 +297,8 @@
         client.tickets.popleft()
         self.held -= ticket.held
         client.room.set()
-        if self.course.phase is Phase.LEAVING:
+        if self.course.phase is Phase.LEAVING or client.crowding:
+            # Ended without a look, the connection would take a command that came meanwhile with it.
             self._hang_up(client)
 
     @staticmethod
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,6 +16,7 @@
 from gaugehinge.net.bulletin import read_bulletin
 from gaugehinge.net.deadlines import Clock, Deadlines
 from gaugehinge.net.pool import Cargo, Place, Pool, RespDialect
+from gaugehinge.net.resp import bulk
 from gaugehinge.terms import Leg, Listing, Outcome, Presence
 from tests.helper import FAILURES, SETTINGS, Bench, Cache, fleet, free_port
 
@@ -268,6 +269,14 @@
             assert all(a is not None and a.startswith((b"$", b"-BUSY", b"-ERR failed")) for a in answers)
             assert any(a.startswith(b"$") for a in answers) and any(a.startswith(b"-BUSY") for a in answers)
             assert made.service.dispatch.pool.lines <= 25
+            crowd = [await made.client() for _ in range(40)]
+            for client in crowd[::-1]:  # commands that come while an earlier BUSY is written
+                words = [bulk(word) for word in (b"KV.GET", b"k1", b"c", b"c=read,d=8000")]
+                await client.stream.send_all(3 * (b"*4\r\n" + b"".join(words)))
+            for client in crowd:
+                got = [await client.answer() for _ in range(3)]
+                assert all(a is not None and a.startswith((b"$", b"-BUSY")) for a in got)
+                await client.stream.aclose()
             fresh = await made.client()  # idle ones make room
             assert (await fresh.get("k0", "again")).startswith((b"$", b"-BUSY"))
 
