While leaving, an answer and the end of its connection go out in one step

Checked: the clients send their next command as soon as they are answered, so a look between commands never finds such a connection idle; not the deadlines, which fired. At fault: clients.py, _write. Now an answer that is the last thing in its connection goes out together with the FIN, and what crosses it is read and dropped, so that no reset takes the answer. All waits of the door, the pool and discovery hang in the one heap.

--- a/gaugehinge/net/clients.py
+++ b/gaugehinge/net/clients.py
@@ -147,8 +147,7 @@
             return False
         if not silent(client.raw):
             return False
-        with suppress(OSError):
-            client.raw.shutdown(socket.SHUT_WR)
+        _no_more(client)
         client.last = True
         client.scope.cancel()
         self._forget(client)
@@ -160,9 +159,8 @@
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._write, client)
                     await self._read(client)
-                    if not client.last:
-                        client.scope.cancel()  # the client has gone
-        except* (OSError, trio.ClosedResourceError, trio.TooSlowError):
+                    client.scope.cancel()  # the client has gone
+        except* (OSError, trio.ClosedResourceError):
             pass
         except* Exception:  # a defect forfeits this connection alone
             logger.exception("a client's connection failed")
@@ -182,17 +180,17 @@
     # -- commands in
 
     async def _read(self, client: Client) -> None:
-        """Until the client goes, or nothing more is wanted of it."""
-        while not client.last:
-            data = await client.stream.recv(CHUNK)
-            if not data:
-                return
+        """Until the client goes. What comes after the last command is read and thrown away: closed with
+        bytes unread, the connection is reset and the last answer may be lost with it."""
+        while data := await client.stream.recv(CHUNK):
+            if client.last:
+                continue
             client.parser.feed(data)
             try:
                 await self._take_commands(client)
             except Malformed as bad:
                 self._put(client, b"-ERR protocol: %b\r\n" % str(bad).encode())
-                self._end(client)
+                client.last = True
 
     async def _take_commands(self, client: Client) -> None:
         while not client.last:
@@ -288,11 +286,6 @@
         client.tickets.append(Ticket(answer=answer))
         client.ready.set()
 
-    def _end(self, client: Client) -> None:
-        """Read no more; the connection closes when all is answered."""
-        client.last = True
-        client.ready.set()
-
     async def _write(self, client: Client) -> None:
         """Answers in the order of their commands, then the end where one is wanted."""
         while not client.last or client.tickets:
@@ -300,32 +293,44 @@
                 await self._write_one(client)
                 continue
             unwanted = not client.tickets and (client.crowding or self.course.phase is Phase.LEAVING)
-            with trio.move_on_after(self.quiet if unwanted else inf) as limit:
+            with self.dispatch.deadlines.within(self.quiet if unwanted else inf) as limit:
                 await client.ready.wait()
                 client.ready = trio.Event()
             if limit.cancelled_caught:
                 self._hang_up(client)
-        await self._linger(client)
-        client.scope.cancel()
+        _no_more(client)
+        self.dispatch.deadlines.at(self.clock() + LINGER, client.scope.cancel)
 
     async def _write_one(self, client: Client) -> None:
         ticket = client.tickets[0]
-        with trio.fail_after(WRITE_TIME):
-            await send_all(client.stream, ticket.answer)
+        rest = self._part(client, ticket.answer) if self.course.phase is Phase.LEAVING else ticket.answer
+        with self.dispatch.deadlines.within(WRITE_TIME) as limit:
+            await send_all(client.stream, rest)
+        if limit.cancelled_caught:
+            client.scope.cancel()
+            return
         client.tickets.popleft()
         self.held -= ticket.held
         client.quiet_since = self.clock()
         client.room.set()
 
     @staticmethod
-    async def _linger(client: Client) -> None:
-        """Closed with bytes unread, the connection is reset and the last answer may be lost with it."""
-        if silent(client.raw):
-            return
-        client.stream.shutdown(socket.SHUT_WR)
-        with trio.move_on_after(LINGER):
-            while await client.stream.recv(CHUNK):
-                pass
+    def _part(client: Client, answer: bytes) -> bytes:
+        """Answer and end in one step, where nothing more stands in the connection; what is still to be sent.
+
+        A busy client's connection is never found idle, and all that it sends on it after that would be lost
+        with the process.
+        """
+        if len(client.tickets) > 1 or len(client.parser) or not silent(client.raw):
+            return answer
+        try:
+            sent = client.raw.send(answer)
+        except BlockingIOError:
+            return answer
+        if sent == len(answer):
+            _no_more(client)
+            client.last = True
+        return answer[sent:]
 
     # -- leaving
 
@@ -340,6 +345,12 @@
         return any(client.tickets for client in self.connections)
 
 
+def _no_more(client: Client) -> None:
+    """Tell the client that no answer follows."""
+    with suppress(OSError):
+        client.raw.shutdown(socket.SHUT_WR)
+
+
 def read_labels(told: bytes) -> tuple[dict[str, str], tuple[bytes, bytes]]:
     """The list of names and values, and what stands before and behind the figure of `d`."""
     labels: dict[str, str] = {}
--- a/gaugehinge/net/deadlines.py
+++ b/gaugehinge/net/deadlines.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from heapq import heapify, heappop, heappush
+from math import inf
 from typing import Any
 
 import trio
@@ -57,6 +59,17 @@
         heappush(self._heap, (when, self._counter, due))
         return due
 
+    @contextmanager
+    def within(self, wait: float) -> Iterator[trio.CancelScope]:
+        """A scope that is cancelled after a wait."""
+        with trio.CancelScope() as scope:
+            due = self.at(self.clock() + wait, scope.cancel) if wait < inf else None
+            try:
+                yield scope
+            finally:
+                if due is not None:
+                    self.drop(due)
+
     def drop(self, due: Due) -> None:
         """Not wanted any more. Most time-outs never fall due: left in, they would outnumber the others."""
         if due.action is None:
--- a/gaugehinge/net/discovery.py
+++ b/gaugehinge/net/discovery.py
@@ -12,6 +12,7 @@
 from ..charter import BadCharter, parse
 from .berth import Address
 from .bulletin import Bulletin, read_bulletin
+from .deadlines import Deadlines
 from .origin import Answer, parser, read_answer, request
 from .pool import Broken
 from .sockets import send_all, stream, tcp
@@ -26,15 +27,16 @@
 class Watch:
     """One watch and its connection."""
 
-    def __init__(self, where: Address) -> None:
+    def __init__(self, where: Address, deadlines: Deadlines) -> None:
         self.where = where
+        self.deadlines = deadlines
         self._raw: socket.socket | None = None
         self._talk = parser()
 
     async def call(self, target: str, most_time: float) -> Bulletin | None:
         """The list that a GET brings; None where the call fails. Raises BadCharter on a bad one."""
         body = None
-        with trio.move_on_after(most_time) as limit:
+        with self.deadlines.within(most_time) as limit:
             body = await self._fetch(target)
         if limit.cancelled_caught or body is None:
             self.hang_up()
@@ -78,10 +80,11 @@
     """Holds one watch at a time."""
 
     def __init__(
-        self, nursery: trio.Nursery, where: Address, rev: int | None,
+        self, nursery: trio.Nursery, deadlines: Deadlines, where: Address, rev: int | None,
         heard: Callable[[Bulletin], None], failed: Callable[[], None],
     ) -> None:
         self.nursery = nursery
+        self.deadlines = deadlines
         self.where = where
         self.rev = rev
         self.heard = heard
@@ -96,7 +99,7 @@
         self.nursery.start_soon(self._follow, self._watching)
 
     async def _follow(self, scope: trio.CancelScope) -> None:
-        watch = Watch(self.where)
+        watch = Watch(self.where, self.deadlines)
         try:
             with scope:
                 await self._watch(watch)
--- a/gaugehinge/net/pool.py
+++ b/gaugehinge/net/pool.py
@@ -293,7 +293,7 @@
         self.lines += 1
         line = Line(raw, stream(raw), place, dialect.parser())
         try:
-            with trio.move_on_after(self.connect_time) as limit:
+            with self.deadlines.within(self.connect_time) as limit:
                 await line.stream.connect(place.endpoint)
             if limit.cancelled_caught:
                 raise Broken("never came up")
--- a/gaugehinge/net/service.py
+++ b/gaugehinge/net/service.py
@@ -57,7 +57,8 @@
                     berth.charter.idle_time, self.dispatch.leg_ended,
                 )
                 discovery = Discovery(
-                    nursery, berth.discovery, known and known.rev, self._hear_list, self.dispatch.list_failed,
+                    nursery, self.deadlines, berth.discovery, known and known.rev, self._hear_list,
+                    self.dispatch.list_failed,
                 )
                 self.dispatch.bind(pool, discovery.follow, peers.tell if peers else lambda *told: None)
                 if known is not None:
