Door and list kept from what would wear them out

Commands that never come whole give up their places where others want them (they would have held all for good); a discovery that answers at once, whatever the wait, is asked every 50 ms at most; a list that could not be used is asked for again; a client that takes no answer is cut after 10 s. Values in hand count twice where they stand twice.

--- a/gaugehinge/net/clients.py
+++ b/gaugehinge/net/clients.py
@@ -24,14 +24,15 @@
 
 MOST_PIPELINED = 32  # commands of one connection in hand; then it is not read on
 MOST_WAIT = 3600.0  # a longer `d` is taken for this
-HELD_PART = 0.2  # of the memory that values in hand may fill
+HELD_PART = 0.1  # of the memory that commands and answers in hand may fill; buffers and lines take more
 MEMORY_EACH = 64 * 1024  # for an operation in hand, with its tasks and its part of the buffers
 ROOM = 0.005  # kept before the abandon time beside the loop's lag, for the answer's own way
 ROOM_PART = 0.25  # of the wait at most: after a long stall the short ones must not all be given up
-WRITE_TIME = 30.0  # a client that does not take an answer for this long is cut off
+WRITE_TIME = 10.0  # a client that does not take an answer for this long is cut off
 LINGER = 0.5  # after an error, for the client to read it before the connection is reset
 QUIET = 0.05  # a connection in use stands idle once it had nothing to do for this long
 FIRST_WORD = 0.3  # a new connection has this long to send something before it counts as idle
+WHOLE_TIME = 2.0  # a command has this long to come whole, where its connection's place is wanted
 FULL_LOOK = 0.1  # how often a full door looks for idle connections to close
 PLAIN = re.compile(rb"[!-~]+")  # what may go on in an HTTP header
 
@@ -68,6 +69,7 @@
     used: bool = False
     last: bool = False  # no further command is read; it ends when all is answered
     quiet_since: float = 0.0
+    began: float = 0.0  # when the first byte came of what the parser holds
     crowding: bool = False  # over the limit: what it asks is answered BUSY, and then it is closed
 
 
@@ -118,7 +120,11 @@
             except OSError as bad:  # out of descriptors, or gone before it was taken
                 logger.warning("accept failed: {}", bad)
                 return False
-            self._take(raw)
+            try:
+                self._take(raw)
+            except OSError as bad:
+                logger.warning("a connection was gone at once: {}", bad)
+                raw.close()
         return False
 
     def _take(self, raw: socket.socket) -> None:
@@ -133,7 +139,14 @@
 
     def _make_room(self) -> bool:
         """Close a connection that stands between commands; its client opens a new one at need."""
-        return any(self._hang_up(client) for client in self.connections)
+        if any(self._hang_up(client) for client in self.connections):
+            return True
+        # Commands that never come whole would hold all places for good; none of them has been taken.
+        latest = self.clock() - WHOLE_TIME
+        slow = [c for c in self.connections if len(c.parser) and not c.tickets and c.began < latest]
+        for client in slow:
+            self._cut(client)
+        return bool(slow)
 
     def _hang_up(self, client: Client) -> bool:
         """Close an idle connection, if it is one.
@@ -147,11 +160,14 @@
             return False
         if not silent(client.raw):
             return False
+        self._cut(client)
+        return True
+
+    def _cut(self, client: Client) -> None:
         _no_more(client)
         client.last = True
         client.scope.cancel()
         self._forget(client)
-        return True
 
     async def _serve(self, client: Client) -> None:
         try:
@@ -185,6 +201,8 @@
         while data := await client.stream.recv(CHUNK):
             if client.last:
                 continue
+            if not len(client.parser):
+                client.began = self.clock()
             client.parser.feed(data)
             try:
                 await self._take_commands(client)
@@ -228,7 +246,7 @@
         except Refused as bad:
             self._put(client, b"-ERR %b\r\n" % str(bad).encode())
             return
-        held = len(message.raw)
+        held = len(message.raw) * (2 if write else 1)  # its value stands alone, too, for the origin
         client.crowding = client.crowding and len(self.connections) > self.most
         full = self.held + held > self.most_held or len(self.dispatch.exchanges) >= self.most_in_hand
         if client.crowding or full:
--- a/gaugehinge/net/discovery.py
+++ b/gaugehinge/net/discovery.py
@@ -21,6 +21,7 @@
 MOST_LIST = 4 << 20  # bytes of an answer
 FIRST_WAIT = 0.5  # of a watch: soon known to be held, it need not be asked for again
 WAIT = 5.0  # of its further calls: a discovery that fell silent is noticed after this and
+PACE = 0.05  # between calls that are answered at once; a watch goes on for 200 ms
 SILENCE = 3.0  # so much over the wait of a call
 
 
@@ -114,6 +115,7 @@
         """Call after call, until one fails."""
         wait = FIRST_WAIT
         while True:
+            asked = self.deadlines.clock()
             target = PATH if self.rev is None else f"{PATH}?index={self.rev}&wait={int(wait * 1000)}"
             try:
                 bulletin = await watch.call(target, wait + SILENCE)
@@ -123,6 +125,8 @@
                 return
             if bulletin is None:
                 return
-            self.rev = bulletin.rev
             self.heard(bulletin)
+            self.rev = bulletin.rev  # only now: what could not be used must be told again
+            if self.deadlines.clock() - asked < PACE:
+                await trio.sleep(PACE)  # one that answers at once, whatever the wait, must not be run against
             wait = WAIT
--- a/gaugehinge/net/pool.py
+++ b/gaugehinge/net/pool.py
@@ -160,6 +160,7 @@
         self.places: dict[int, Place] = {}  # follows the list
         self.travels: dict[Leg, Travel] = {}  # until the leg ended
         self.lines = 0
+        self.full = False
         self._sweep()
 
     # -- the list
@@ -252,7 +253,6 @@
         line = self._warm(place)
         if line is None:
             if not self._make_room():
-                logger.warning("no connection left within the limit of {}", self.most)
                 return Reply(Outcome.NEVER_SENT)
             line = await self._connect(place, dialect)
         travel.line = line
@@ -281,6 +281,9 @@
         if self.lines < self.most:
             return True
         idle = [place.idle[0] for place in self.places.values() if place.idle]
+        if bool(idle) is self.full:
+            self.full = not idle
+            logger.warning("connections to servers {}: {} out", "easy" if idle else "used up", self.lines)
         if not idle:
             return False
         line = min(idle, key=lambda each: each.idle_since)
