--- a/gaugehinge/net/deadlines.py
+++ b/gaugehinge/net/deadlines.py
@@ -15,7 +15,7 @@
 
 SAMPLE_EVERY = 0.05  # how often the lag is looked at, even with nothing due
 LAG_KEEP = 0.99  # a sample: a long lag is remembered for some seconds
-MOST_LAG = 0.25  # room for more than this would give up operations that could be settled
+MOST_LAG = 0.6  # a stall longer than this is no measure of the next one
 SPARSE = 64  # a heap this small is not worth cleaning
 
 
