Tests that could not fail made to: a client's leaving, what stands behind an HTTP answer

Found by changing the code by hand and running the tests: two changes of ten went unseen. An HTTP answer that the end of its connection completes no longer counts as leaving that connection good.

--- a/gaugehinge/net/origin.py
+++ b/gaugehinge/net/origin.py
@@ -68,7 +68,7 @@
         head, body = self._head, bytes(self._body)
         self._body.clear()
         keep = self._state.our_state is h11.DONE and self._state.their_state is h11.DONE
-        keep = keep and not self._state.trailing_data[0]
+        keep = keep and self._state.trailing_data == (b"", False)  # nothing behind it, not the end either
         if keep:
             self._state.start_next_cycle()
         return Answer(head.status_code, dict(head.headers), body, keep)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -135,10 +135,13 @@
 
 
 def test_a_client_that_leaves_takes_its_leg_with_it(tmp_path):
+    patient = {**SETTINGS["trafficTypes"][0], "promisedTimeUs": 300_000_000}
+
     async def scene():
-        async with fleet(tmp_path, [Cache("stall")]) as made:
+        settings = {**SETTINGS, "trafficTypes": [patient]}
+        async with fleet(tmp_path, [Cache("stall")], settings=settings) as made:
             client = await made.client()
-            await client.send("KV.GET", "k", "i", "c=read,d=30000")
+            await client.send("KV.GET", "k", "i", "c=read,d=300000")
             while not made.caches[0].commands:
                 await trio.sleep(0.01)
             await client.stream.aclose()
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -13,6 +13,7 @@
 from gaugehinge.net.bulletin import read_bulletin
 from gaugehinge.net.clients import Refused, read_labels
 from gaugehinge.net.deadlines import MOST_LAG, Clock, Deadlines
+from gaugehinge.net.origin import Talk
 from gaugehinge.net.pool import Broken, read_reply
 from gaugehinge.net.slots import Slots
 from gaugehinge.terms import Outcome, Presence
@@ -90,6 +91,27 @@
     assert (reply.outcome, reply.value) == (outcome, value)
 
 
+def test_an_http_answer_in_pieces_and_what_ends_its_connection():
+    whole = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"
+    talk = Talk(100)
+    for keep, behind in ((True, b""), (False, b"HTTP/1.1 200")):
+        talk.request("GET", "/k", [("Host", b"h")])
+        for byte in whole[:-1]:
+            assert talk.answer(bytes([byte])) is None
+        got = talk.answer(whole[-1:] + behind)
+        assert (got.status, got.body, got.keep) == (200, b"ab", keep)
+    ends = Talk(100)
+    ends.request("GET", "/k", [("Host", b"h")])
+    assert ends.answer(b"HTTP/1.1 200 OK\r\n\r\nab") is None
+    got = ends.answer(b"")
+    assert (got.body, got.keep) == (b"ab", False)
+    for bad in (b"nonsense\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + b"x" * 101):
+        talk = Talk(100)
+        talk.request("GET", "/k", [("Host", b"h")])
+        with pytest.raises(Broken):
+            talk.answer(bad)
+
+
 def test_a_stale_handle_finds_nothing_and_slots_are_used_again():
     slots = Slots()
     first = slots.add("a")
