--- a/gaugehinge/net/clients.py
+++ b/gaugehinge/net/clients.py
@@ -34,7 +34,7 @@
 QUIET = 0.05  # a connection in use stands idle once it had nothing to do for this long
 FIRST_WORD = 0.3  # a new connection has this long to send something before it counts as idle
 WHOLE_TIME = 2.0  # a command has this long to come whole, where its connection's place is wanted
-LEAST_LOOK = 0.01  # between two looks at a connection over the limit
+LEAST_LOOK = 0.01  # between two looks for what may be closed that found nothing
 FULL_LOOK = 0.1  # how often a full door looks for idle connections to close
 PLAIN = re.compile(rb"[!-~]+")  # what may go on in an HTTP header
 
@@ -95,7 +95,7 @@
         self.quiet = QUIET
         self.last_came = self.clock()
         self.connections: Slots[Client] = Slots()  # until closed
-        self._left = trio.Event()
+        self.next_look = 0.0  # for idle connections, once a look found none
         self.commands: dict[bytes, Callable[[Client, Message], bytes]] = {
             b"PING": self._ping,
             b"CLIENT": lambda client, message: OK,
@@ -141,13 +141,17 @@
 
     def _make_room(self) -> bool:
         """Close a connection that stands between commands; its client opens a new one at need."""
+        now = self.clock()
+        if now < self.next_look:
+            return False  # a look at all of them for each newcomer would be most of what a full door does
         if any(self._hang_up(client) for client in self.connections):
             return True
         # Commands that never come whole would hold all places for good; none of them has been taken.
-        latest = self.clock() - WHOLE_TIME
+        latest = now - WHOLE_TIME
         slow = [c for c in self.connections if len(c.parser) and not c.tickets and c.began < latest]
         for client in slow:
             self._cut(client)
+        self.next_look = 0.0 if slow else now + LEAST_LOOK
         return bool(slow)
 
     def _hang_up(self, client: Client) -> bool:
--- a/gaugehinge/net/service.py
+++ b/gaugehinge/net/service.py
@@ -48,6 +48,7 @@
         """Until told to leave and all in hand is answered."""
         berth = self.berth
         self.listening = listener(berth.listen, BACKLOG)
+        logger.info("router {} at {}:{}", berth.name, *berth.listen)
         peers = Peers(berth.peer_listen, berth.peers) if berth.peer_listen else None
         async with trio.open_nursery() as nursery:
             with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
