--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,7 +13,7 @@
 import pytest
 import trio
 
-from gaugehinge.net import clients
+from gaugehinge.net import clients, pool, sockets
 from gaugehinge.net.bulletin import read_bulletin
 from gaugehinge.net.deadlines import Clock, Deadlines
 from gaugehinge.net.discovery import PACE
@@ -78,6 +78,54 @@
     run(scene)
 
 
+def test_what_does_not_go_at_once_is_written_later_and_whole(tmp_path, monkeypatch):
+    def meagre(raw, data):
+        return sockets.send_some(raw, data[:3])
+
+    async def scene():
+        async with fleet(tmp_path) as made:
+            client = await made.client()
+            monkeypatch.setattr(clients, "send_some", meagre)
+            monkeypatch.setattr(pool, "send_some", meagre)
+            for n in range(2):
+                await client.send("KV.GET", f"k{n}", f"i{n}", "c=read,d=4000")
+            assert [await client.answer() for _ in range(2)] == [b"$5\r\nof k%d\r\n" % n for n in range(2)]
+            assert sorted(command[1] for command in made.caches[0].commands) == [b"k0", b"k1"]
+            monkeypatch.undo()
+            assert await client.get() == b"$5\r\nof k1\r\n"
+
+    run(scene)
+
+
+def test_a_command_that_could_not_be_written_whole_never_ran(tmp_path, monkeypatch):
+    async def nothing_more(raw, data):
+        await trio.sleep_forever()
+
+    async def scene():
+        async with fleet(tmp_path) as made:
+            client = await made.client()
+            monkeypatch.setattr(pool, "send_some", lambda raw, data: sockets.send_some(raw, data[:3]))
+            monkeypatch.setattr(pool, "send_all", nothing_more)
+            assert (await client.put(labels="c=once,d=500")).startswith(b"-BUSY") and made.origin.seen == []
+
+    run(scene)
+
+
+def test_values_in_hand_are_bounded(tmp_path):
+    async def scene():
+        async with fleet(tmp_path, origin=lambda *call: "stall") as made:
+            door = made.service.clients
+            door.most_held = 1_000_000
+            crowd = [await made.client() for _ in range(12)]
+            for n, client in enumerate(crowd):
+                await client.send("KV.SET", "k", f"i{n}", "c=once,d=1500", b"v" * 65536)
+            answers = [await client.answer() for client in crowd]
+            assert answers.count(b"-BUSY\r\n") >= 5 and all(a.startswith(GONE_WRONG) for a in answers)
+            assert door.held == 0 and all(len(body) == 65536 for *_, body in made.origin.seen)
+
+    run(scene)
+
+
 @pytest.mark.parametrize("mode", [*FAILURES, "shut", "error", "busy"])
 def test_a_failing_cache_costs_one_answer_and_nothing_else(tmp_path, mode):
     async def scene():
@@ -187,11 +235,11 @@
             [listener] = await nursery.start(partial(trio.serve_tcp, cache.serve, 0, host="127.0.0.1"))
             deadlines = Deadlines(Clock())
             nursery.start_soon(deadlines.run)
-            pool = Pool(nursery, deadlines, 5, 1.0, 10.0, lambda *told: ended.append(told))
+            made = Pool(nursery, deadlines, 5, 1.0, 10.0, lambda *told: ended.append(told))
             operation, answer = bench.ask()
             address = listener.socket.getsockname()
-            pool.places[answer.leg.server.ident] = Place(answer.leg.server.ident, "s", address, 0.0)
-            pool.send(answer.leg, Cargo(b"i", b"k", (b"d=", b""), b"d=1", b"", b"", None), 5.0, RespDialect())
+            made.places[answer.leg.server.ident] = Place(answer.leg.server.ident, "s", address, 0.0)
+            made.send(answer.leg, Cargo(b"i", b"k", (b"d=", b""), b"d=1", b"", b"", None), 5.0, RespDialect())
             bench.hear([Listing(answer.leg.server.ident, "a", "std", 0, Presence.DRAINING, 0.0)], whole=False)
             while not ended:
                 await trio.sleep(0.01)
@@ -207,15 +255,15 @@
         async with trio.open_nursery() as nursery:
             deadlines = Deadlines(Clock())
             nursery.start_soon(deadlines.run)
-            pool = Pool(nursery, deadlines, 5, 1.0, 10.0, lambda *told: ended.append(told))
+            made = Pool(nursery, deadlines, 5, 1.0, 10.0, lambda *told: ended.append(told))
             _, answer = bench.ask()
             leg: Leg = answer.leg
-            pool.places[leg.server.ident] = Place(leg.server.ident, "s", ("127.0.0.1", free_port()), 0.0)
-            pool.send(leg, Cargo(b"i", b"k", (b"d=", b""), b"d=1", b"", b"", None), 5.0, RespDialect())
-            pool.call_off(leg)
+            made.places[leg.server.ident] = Place(leg.server.ident, "s", ("127.0.0.1", free_port()), 0.0)
+            made.send(leg, Cargo(b"i", b"k", (b"d=", b""), b"d=1", b"", b"", None), 5.0, RespDialect())
+            made.call_off(leg)
             while not ended:
                 await trio.sleep(0.01)
-            assert ended[0][:2] == (leg, Outcome.NEVER_SENT) and pool.lines == 0
+            assert ended[0][:2] == (leg, Outcome.NEVER_SENT) and made.lines == 0
             nursery.cancel_scope.cancel()
 
     run(scene)
