SIGHUP reads the configuration again and moves the watch; it ended the process before

Checked: only SIGTERM and SIGINT were received in service.py, so the default action of SIGHUP ended the process. Ruled out: discovery's move itself, which the old watch would have met as a lost connection and asked for again with a version of the old service.

Now discovery, peers and limits follow the file; a bad file changes nothing and costs one line; what needs a new start (addresses, settings) is named. The module spreads the first call to the new discovery by chance over half a second; the list in hand stays until the whole one comes. A watch that is ended takes no answer any more, even one just read.

--- a/gaugehinge/__main__.py
+++ b/gaugehinge/__main__.py
@@ -2,6 +2,7 @@
 
 import gc
 import os
+import signal
 import sys
 
 import trio
@@ -15,6 +16,7 @@
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # it ends a process that does not hear it yet, or no more
     logger.remove()
     logger.add(sys.stderr, format=FORM, level="INFO", diagnose=False)
     try:
@@ -25,7 +27,7 @@
     gc.freeze()
     gc.set_threshold(20_000, 20, 20)  # passes over what lives long cost answers their time
     try:
-        trio.run(Service(berth).run)
+        trio.run(Service(berth, os.environ).run)
     except OSError as bad:
         print(f"cannot serve at {berth.listen[0]}:{berth.listen[1]}: {bad}", file=sys.stderr)
         return 1
--- a/gaugehinge/net/berth.py
+++ b/gaugehinge/net/berth.py
@@ -72,6 +72,17 @@
     )
 
 
+def lasting(old: Berth, new: Berth) -> list[str]:
+    """The fields that differ and cannot change in service."""
+    deployment = replace(new.charter.deployment, seed=old.charter.deployment.seed)
+    return [
+        name for name, same in (
+            ("listen", old.listen == new.listen), ("peer_listen", old.peer_listen == new.peer_listen),
+            ("settings", old.charter == replace(new.charter, deployment=deployment)),
+        ) if not same
+    ]
+
+
 def _seed(page: Page) -> int:
     text = page.values.get("seed", "0")
     try:
--- a/gaugehinge/net/clients.py
+++ b/gaugehinge/net/clients.py
@@ -86,10 +86,7 @@
         self.course = course
         self.dispatch = dispatch
         self.clock = dispatch.clock
-        self.most = most_clients
-        self.spare = max(most_clients // 4, 8)  # places beyond it, to say BUSY from
-        self.most_held = int(memory * HELD_PART)
-        self.most_in_hand = min(charter.most_open, memory // MEMORY_EACH)
+        self.limit(most_clients, memory)
         self.nursery = nursery
         self.held = 0
         self.quiet = QUIET
@@ -103,6 +100,13 @@
             b"QUIT": self._quit,
         }
 
+    def limit(self, most_clients: int, memory: int) -> None:
+        """The limits, at the start and when they change."""
+        self.most = most_clients
+        self.spare = max(most_clients // 4, 8)  # places beyond it, to say BUSY from
+        self.most_held = int(memory * HELD_PART)
+        self.most_in_hand = min(self.charter.most_open, memory // MEMORY_EACH)
+
     # -- connections
 
     async def accept(self, listening: socket.socket) -> None:
--- a/gaugehinge/net/discovery.py
+++ b/gaugehinge/net/discovery.py
@@ -95,6 +95,15 @@
         self.failed = failed
         self._watching: trio.CancelScope | None = None
 
+    def move(self, where: Address) -> None:
+        """Discovery is found elsewhere, and may count its versions anew: the whole list is asked for there.
+
+        The old watch ends with this. A list that it still brought would undo what the new one told.
+        """
+        self.where, self.rev = where, None
+        if self._watching is not None:
+            self._watching.cancel()
+
     def follow(self) -> None:
         """Begin a watch, in place of one that has not answered."""
         if self._watching is not None:
@@ -106,15 +115,16 @@
         watch = Watch(self.where, self.deadlines)
         try:
             with scope:
-                await self._watch(watch)
-                self.failed()
+                await self._watch(watch, scope)
+                if not scope.cancel_called:
+                    self.failed()
         except Exception:
             logger.exception("a watch failed")
             self.failed()
         finally:
             watch.hang_up()
 
-    async def _watch(self, watch: Watch) -> None:
+    async def _watch(self, watch: Watch, scope: trio.CancelScope) -> None:
         """Call after call, until one fails."""
         wait = FIRST_WAIT
         while True:
@@ -123,10 +133,12 @@
             try:
                 bulletin = await watch.call(target, wait + SILENCE)
             except BadCharter as bad:
+                if scope.cancel_called:
+                    return
                 logger.warning("bad list: {}", bad)
                 self.rev = None  # changes on top of what was not understood would not add up
                 return
-            if bulletin is None:
+            if bulletin is None or scope.cancel_called:  # it may have come just when the watch was ended
                 return
             self.heard(bulletin)
             self.rev = bulletin.rev  # only now: what could not be used must be told again
--- a/gaugehinge/net/dispatch.py
+++ b/gaugehinge/net/dispatch.py
@@ -173,6 +173,10 @@
         self.router.list_failed(self.clock())
         self._flush_log()
 
+    def list_moved(self) -> None:
+        self.router.list_moved(self.clock())
+        self._flush_log()
+
     def hear_peer(self, number: int, payload: bytes) -> None:
         self.router.hear_peer(number, payload, self.clock())
 
--- a/gaugehinge/net/peers.py
+++ b/gaugehinge/net/peers.py
@@ -19,12 +19,15 @@
     """One socket for all peers."""
 
     def __init__(self, listen: Address, addresses: tuple[Address, ...]) -> None:
-        self.addresses = addresses
-        self.numbers = {address: number for number, address in enumerate(addresses)}
+        self.know(addresses)
         self.raw = socket.socket(family(listen), socket.SOCK_DGRAM)
         self.raw.setblocking(False)
         self.raw.bind(listen)
 
+    def know(self, addresses: tuple[Address, ...]) -> None:
+        self.addresses = addresses
+        self.numbers = {address: number for number, address in enumerate(addresses)}
+
     def tell(self, numbers: tuple[int, ...], payload: bytes) -> None:
         if len(payload) > MOST_BYTES:
             logger.error("a message of {} bytes is not sent", len(payload))
--- a/gaugehinge/net/service.py
+++ b/gaugehinge/net/service.py
@@ -4,13 +4,15 @@
 
 import signal
 import socket
+from collections.abc import Mapping
+from dataclasses import replace
 
 import trio
 from loguru import logger
 
 from ..charter import BadCharter
 from ..terms import Presence
-from .berth import Berth
+from .berth import Berth, lasting, read_berth
 from .bulletin import Bulletin, read_bulletin
 from .clients import QUIET, Clients
 from .deadlines import Clock, Deadlines
@@ -35,13 +37,17 @@
 class Service:
     """One router."""
 
-    def __init__(self, berth: Berth) -> None:
+    def __init__(self, berth: Berth, environment: Mapping[str, str]) -> None:
         self.berth = berth
+        self.environment = environment  # where the configuration is read again
         self.course = Course()
         self.clock = Clock()
         self.deadlines = Deadlines(self.clock)
         self.dispatch = Dispatch(berth.charter.deployment, self.deadlines)
         self.clients: Clients
+        self.pool: Pool
+        self.discovery: Discovery
+        self.peers: Peers | None = None
         self.listening: socket.socket
 
     async def run(self) -> None:
@@ -49,15 +55,15 @@
         berth = self.berth
         self.listening = listener(berth.listen, BACKLOG)
         logger.info("router {} at {}:{}", berth.name, *berth.listen)
-        peers = Peers(berth.peer_listen, berth.peers) if berth.peer_listen else None
+        peers = self.peers = Peers(berth.peer_listen, berth.peers) if berth.peer_listen else None
         async with trio.open_nursery() as nursery:
-            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
                 known = self._known()
-                pool = Pool(
+                pool = self.pool = Pool(
                     nursery, self.deadlines, int(berth.sockets * LINE_PART), berth.charter.connect_time,
                     berth.charter.idle_time, self.dispatch.leg_ended,
                 )
-                discovery = Discovery(
+                discovery = self.discovery = Discovery(
                     nursery, self.deadlines, berth.discovery, known and known.rev, self._hear_list,
                     self.dispatch.list_failed,
                 )
@@ -78,12 +84,36 @@
                     self._enter(Phase.READY)
                 else:
                     self.deadlines.at(self.clock() + START_TIME, self._ready)
-                async for _ in signals:
-                    break
+                async for number in signals:
+                    if number != signal.SIGHUP:
+                        break
+                    self._reread()
                 await self._leave(accepting)
             nursery.cancel_scope.cancel()
         self._enter(Phase.ENDED)
 
+    def _reread(self) -> None:
+        """Take over from the configuration what can change in service; a bad one changes nothing."""
+        old = self.berth
+        try:
+            new = read_berth(self.environment)
+        except BadCharter as bad:
+            logger.warning("configuration not taken: {}", bad)
+            return
+        for field in lasting(old, new):
+            logger.warning("configuration: {} changes at the next start only", field)
+        self.berth = replace(
+            old, discovery=new.discovery, peers=new.peers, memory=new.memory, sockets=new.sockets,
+        )
+        logger.info("configuration read again: discovery at {}:{}", *new.discovery)
+        self.pool.most = int(new.sockets * LINE_PART)
+        self.clients.limit(int(new.sockets * CLIENT_PART), new.memory)
+        if self.peers is not None:
+            self.peers.know(new.peers)
+        if new.discovery != old.discovery:
+            self.discovery.move(new.discovery)
+            self.dispatch.list_moved()
+
     def _known(self) -> Bulletin | None:
         """The list that this router had before; a bad one is as none."""
         if self.berth.known is None:
--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -114,6 +114,7 @@
 
 # Errands
 ASK_AGAIN = 1.0  # first pause after a failed call to the list; doubles, with a random part
+MOVE_SPREAD = 0.5  # all routers are told at once where the list is asked for from now on
 UNANSWERED = 4.0  # a call with no answer for this long is made again
 MESSAGE_EVERY = 1.0
 MESSAGE_PEERS = 6  # told each time: all of a few routers, of hundreds a sample that does not grow with them
@@ -299,9 +300,8 @@
         self.fade = deployment.cold_time or FADE_WINDOW
         self.list_heard = False
         self.list_failures = 0
-        self.errands: list[Errand] = []
-        if deployment.must_ask:
-            self.errands.append(Errand(Purpose.LIST, now))
+        self.asking = Errand(Purpose.LIST, now)
+        self.errands = [self.asking] if deployment.must_ask else []
         if deployment.may_message and tenants and deployment.routers > 1:
             self.errands.append(Errand(Purpose.MESSAGE, now + MESSAGE_EVERY * self._chance()))
 
@@ -377,12 +377,16 @@
         self.list_heard = False
         self.list_failures += 1
         pause = ASK_AGAIN * min(2.0 ** (self.list_failures - 1), 4.0) * (0.5 + self._chance())
-        for errand in self.errands:
-            if errand.purpose is Purpose.LIST:
-                errand.due = now + pause
+        self.asking.due = now + pause
         if self.list_failures == 1:
             self.log.append(f"list call failed, again in {pause:.1f} s")
 
+    def list_moved(self, now: float) -> None:
+        """The list is asked for elsewhere: soon, but not by all routers at the same moment."""
+        self.list_heard = False
+        self.list_failures = 0
+        self.asking.due = now + MOVE_SPREAD * self._chance()
+
     def hear_peer(self, number: int, payload: bytes, now: float) -> None:
         """A peer told its rate of operations for each tenant."""
         count = len(self.used)
@@ -398,9 +402,7 @@
             self._unjoin(operation)
         if operation.queued:
             self._leave_queue(operation)
-        if not self.deployment.may_cancel:
-            return []
-        return [leg for leg in operation.legs if leg.out]
+        return [leg for leg in operation.legs if leg.out and self.deployment.may_cancel]
 
     # ---------------------------------------------------------------- the ordinary path: the ring walk
 
@@ -477,11 +479,9 @@
         first = operation.ran_at
         if traffic.effect is not Effect.DEDUPLICATED:
             return traffic.effect is Effect.IDEMPOTENT
-        return (
-            traffic.group is Group.ALL
-            or (traffic.group is Group.ZONE and cache.zone == first.zone)
-            or (traffic.group is Group.CELL and cache.cell == first.cell)
-        )
+        if traffic.group is Group.ZONE:
+            return cache.zone == first.zone
+        return traffic.group is Group.ALL or cache.cell == first.cell
 
     def _weigh(self, cache: Cache) -> None:
         occupancy = cache.busy / (BUCKET * BUCKETS)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -243,6 +243,7 @@
     targets: list
     scope: trio.CancelScope
     ended: trio.Event
+    path: object  # of its configuration
 
     async def client(self) -> Client:
         return Client(await trio.open_tcp_stream("127.0.0.1", self.port))
@@ -273,8 +274,9 @@
         }
         path = tmp_path / "config.json"
         path.write_text(json.dumps(config))
-        service = Service(read_berth({"LB_CONFIG": str(path)}))
-        made = Fleet(service, caches, origin, port, targets, trio.CancelScope(), trio.Event())
+        environment = {"LB_CONFIG": str(path)}
+        service = Service(read_berth(environment), environment)
+        made = Fleet(service, caches, origin, port, targets, trio.CancelScope(), trio.Event(), path)
         nursery.start_soon(_run, made)
         await trio.testing.wait_all_tasks_blocked()
         yield made
@@ -293,5 +295,5 @@
 
 __all__ = [
     "FAILURES", "MARKED", "ONCE", "ORIGIN", "PLAIN", "READ", "SETTINGS", "Answer", "Bench", "Cache",
-    "Outcome", "Presence", "Tenant", "Verdict", "fleet", "free_port", "origin_row", "row",
+    "Outcome", "Presence", "Tenant", "Verdict", "Web", "fleet", "free_port", "origin_row", "row",
 ]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -21,7 +21,7 @@
 from gaugehinge.net.resp import bulk
 from gaugehinge.policy import Router
 from gaugehinge.terms import Leg, Listing, Outcome, Presence
-from tests.helper import FAILURES, SETTINGS, Bench, Cache, fleet, free_port
+from tests.helper import FAILURES, SETTINGS, Bench, Cache, Web, fleet, free_port
 
 GONE_WRONG = (b"-BUSY", b"-ERR failed\r\n")
 
@@ -562,6 +562,45 @@
     run(scene)
 
 
+def test_a_new_configuration_moves_the_watch_and_a_bad_one_changes_nothing(tmp_path):
+    calls = []
+
+    async def scene():
+        async with fleet(tmp_path, [Cache(), Cache()]) as made, trio.open_nursery() as nursery:
+            client, places = await made.client(), made.service.dispatch.pool.places
+            config = json.loads(made.path.read_text())
+
+            def elsewhere(method, target, headers, body):
+                calls.append(target)
+                whole = {"rev": 0, "all": True, "targets": made.targets[1:]}
+                return (200, "", json.dumps(whole).encode()) if "index" not in target else "stall"
+
+            async def hang_up(text):
+                made.path.write_text(text)
+                os.kill(os.getpid(), signal.SIGHUP)
+                await trio.sleep(0.05)
+                assert (await client.get()).startswith(b"$")
+
+            for bad in ("{", json.dumps({**config, "discovery": "nowhere"})):
+                await hang_up(bad)
+            for before in (3, 2):
+                stand = partial(trio.serve_tcp, Web(elsewhere).serve, 0, host="127.0.0.1")
+                [listener] = await nursery.start(stand)
+                port = listener.socket.getsockname()[1]
+                calls.clear()
+                await hang_up(json.dumps({**config, "discovery": f"127.0.0.1:{port}"}))
+                assert calls or len(places) == before
+                while len(calls) < 2:
+                    await trio.sleep(0.01)
+                assert calls == ["/discovery/hosts", "/discovery/hosts?index=0&wait=5000"]
+                assert len(places) == 2
+            await hang_up(json.dumps({**config, "limits": {"sockets": 100}}))
+            assert made.service.clients.most == 40 and not made.ended.is_set()
+            nursery.cancel_scope.cancel()
+
+    run(scene)
+
+
 def test_the_program_exits_with_2_and_one_line_on_a_bad_configuration(tmp_path):
     path = tmp_path / "config.json"
     config = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": SETTINGS, "seed": []}
