A spoilt answer is an outcome of its own: no lost connection, no queue at the origin

A probe of each line's end showed that no leg hangs: nearly all spoilt answers are recognised at once, most of them the origin's (bad heads, lengths, chunks). Ruled out: unfinished answers (13 time-outs with nothing read).

Now Outcome.SPOILT: may have run, counts as an answer of its server and as a plain failure, and shows no queue. An answer must be the array of three by the protocol; what stands for its load report spoils nothing.

--- a/gaugehinge/net/origin.py
+++ b/gaugehinge/net/origin.py
@@ -8,7 +8,7 @@
 import h11
 
 from ..terms import Outcome
-from .pool import Broken, Cargo, Line, Reply
+from .pool import Broken, Cargo, Line, Reply, Spoilt
 from .resp import MOST_VALUE, bulk
 
 MOST_HEAD = 32 * 1024
@@ -56,13 +56,13 @@
                 elif isinstance(event, h11.Data):
                     self._body += event.data
                     if len(self._body) > self.most:
-                        raise Broken("answer too long")
+                        raise Spoilt("answer too long")
                 elif isinstance(event, h11.EndOfMessage):
                     return self._whole()
                 elif isinstance(event, h11.ConnectionClosed):
                     raise Broken("ended")
         except h11.RemoteProtocolError as bad:
-            raise Broken(str(bad)) from None
+            raise (Spoilt if data else Broken)(str(bad)) from None
 
     def _whole(self) -> Answer:
         head, body = self._head, bytes(self._body)
--- a/gaugehinge/net/pool.py
+++ b/gaugehinge/net/pool.py
@@ -24,6 +24,7 @@
 CHUNK = 32 * 1024
 IDLE_PART = 0.7  # of the time after which a server closes an idle line: one written to then may be lost
 SWEEP_EVERY = 0.5
+ANSWER_PARTS = 3  # the value, how it went, the load report
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,7 +62,11 @@
 
 
 class Broken(Exception):
-    """The other side ended the line, or sent what makes no sense."""
+    """The other side ended the line."""
+
+
+class Spoilt(Broken):
+    """The other side answered with what makes no sense. It is up, and the leg has run there."""
 
 
 @dataclass(slots=True, eq=False)
@@ -118,7 +123,7 @@
         try:
             message = line.parser.next()
         except Malformed as bad:
-            raise Broken(str(bad)) from None
+            raise Spoilt(str(bad)) from None
         if message is None:
             return None
         # What follows an answer unasked belongs to no leg: the next one would take it for its own.
@@ -135,9 +140,11 @@
         if word != b"ERR":
             logger.warning("a cache server answered {!r}", top.body[:80])
         return Reply(Outcome.ERRORED)
-    if top.kind != ARRAY or not top.body or top.body[0].kind != BULK:
-        raise Broken("an answer that is no array with a value")
-    value = top.body[0]
+    if top.kind != ARRAY or top.body is None or len(top.body) != ANSWER_PARTS:
+        raise Spoilt("an answer that is no array of three")
+    value, how, _ = top.body  # whatever stands for the load report spoils nothing
+    if value.kind != BULK or how.kind != BULK:
+        raise Spoilt("an answer that is no value with how it went")
     if value.body is None:
         return Reply(Outcome.MISSED)
     return Reply(Outcome.SETTLED, message.part(value))
@@ -308,6 +315,7 @@
 
     async def _run(self, line: Line, travel: Travel) -> None:
         """A line's task: connect, write the leg that it was opened for, read until it ends."""
+        spoilt = False
         try:
             with self.deadlines.within(self.connect_time) as limit:
                 await connect(line.raw, line.place.endpoint)
@@ -318,12 +326,14 @@
                     self._incoming(line, data)
                     if not data:
                         break
+        except Spoilt:
+            spoilt = True
         except (OSError, Broken, trio.ClosedResourceError):
             pass
         except Exception:
             logger.exception("a line to {} failed", line.place.uid)
         finally:
-            self._lose(line)
+            self._lose(line, spoilt)
 
     def _incoming(self, line: Line, data: bytes) -> None:
         travel = line.travel
@@ -339,15 +349,20 @@
             self._close(line)
         self._end(travel, reply.outcome, reply.value)
 
-    def _lose(self, line: Line) -> None:
-        """A line has ended: so has the leg on it, by where that stood."""
+    def _lose(self, line: Line, spoilt: bool) -> None:
+        """A line has ended: so has the leg on it, by where that stood.
+
+        What answers nonsense now and then is up: taken for lost connections, two such answers in a row set
+        a sound server aside, and the others drowned.
+        """
         if line in line.place.idle:
             line.place.idle.remove(line)
         self._close(line)
         travel, line.travel = line.travel, None
         if travel is not None:
             travel.line = None
-            self._end(travel, Outcome.BROKEN if line.written else Outcome.NOT_CONNECTED)
+            may_have_run = Outcome.SPOILT if spoilt else Outcome.BROKEN
+            self._end(travel, may_have_run if line.written else Outcome.NOT_CONNECTED)
 
     def _rest(self, line: Line) -> None:
         line.travel = None
--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -128,7 +128,8 @@
 WAIT = Answer(Verdict.WAIT)
 FORFEIT = Answer(Verdict.FORFEIT)
 LOST = (Outcome.NOT_CONNECTED, Outcome.BROKEN)
-FAULTS = (Outcome.ERRORED, Outcome.TIMED_OUT, Outcome.UNKNOWN)
+FAULTS = (Outcome.ERRORED, Outcome.SPOILT, Outcome.TIMED_OUT, Outcome.UNKNOWN)
+ANSWERED = (Outcome.SETTLED, Outcome.MISSED, Outcome.SPOILT)
 
 
 @dataclass(slots=True)
@@ -567,7 +568,7 @@
         cache.slide(self.bucket)
         cache.buckets[self.bucket % BUCKETS] += elapsed
         cache.busy += elapsed
-        if outcome is Outcome.SETTLED or outcome is Outcome.MISSED:
+        if outcome in ANSWERED:
             # Only answered legs measure what a cache can bear: turned-away ones and repeats swell with
             # an overload and would raise the budget of the cold caches just then.
             self.rate.add(now)
@@ -931,7 +932,8 @@
         if outcome in (Outcome.CALLED_OFF, Outcome.NEVER_SENT):
             return
         before = gate.limit
-        gate.learn(elapsed, outcome is not Outcome.SETTLED, gate.out + 1 >= 0.5 * gate.limit, now)
+        # A spoilt answer shows no queue: cut for each, the limit sank to its least and reads waited in vain.
+        gate.learn(elapsed, outcome not in ANSWERED, gate.out + 1 >= 0.5 * gate.limit, now)
         tight = gate.limit < before or (gate.tight and gate.limit < 2 * gate.least)
         if tight != gate.tight:
             gate.tight = tight
--- a/gaugehinge/terms.py
+++ b/gaugehinge/terms.py
@@ -31,6 +31,7 @@
 
     SETTLED = ("settled", True)
     ERRORED = ("errored", True)
+    SPOILT = ("spoilt", True)  # answered with what cannot be read
     TIMED_OUT = ("timed out", True)
     BROKEN = ("broken", True)
     CALLED_OFF = ("called off", True)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -14,7 +14,7 @@
 from gaugehinge.net.clients import Refused, read_labels
 from gaugehinge.net.deadlines import MOST_LAG, Clock, Deadlines
 from gaugehinge.net.origin import Talk
-from gaugehinge.net.pool import Broken, read_reply
+from gaugehinge.net.pool import Broken, Spoilt, read_reply
 from gaugehinge.net.slots import Slots
 from gaugehinge.terms import Outcome, Presence
 from tests.helper import SETTINGS
@@ -79,12 +79,14 @@
     (b"-NOPERM\r\n", Outcome.ERRORED, None),
     (b"+OK\r\n", None, None), (b":1\r\n", None, None), (b"$1\r\nv\r\n", None, None), (b"*0\r\n", None, None),
     (b"*-1\r\n", None, None), (b"*1\r\n:1\r\n", None, None),
+    (b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n:8\r\n", Outcome.SETTLED, b"$1\r\nv\r\n"),
+    (b"*3\r\n$1\r\nv\r\n:1\r\n$-1\r\n", None, None), (b"*2\r\n$1\r\nv\r\n$3\r\nhit\r\n", None, None),
 ])
 def test_a_cache_servers_answer_by_the_table(answer, outcome, value):
     parser = resp.Parser()
     parser.feed(answer)
     if outcome is None:
-        with pytest.raises(Broken):
+        with pytest.raises(Spoilt):
             read_reply(parser.next())
         return
     reply = read_reply(parser.next())
@@ -108,8 +110,14 @@
     for bad in (b"nonsense\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + b"x" * 101):
         talk = Talk(100)
         talk.request("GET", "/k", [("Host", b"h")])
-        with pytest.raises(Broken):
+        with pytest.raises(Spoilt):
             talk.answer(bad)
+    talk = Talk(100)
+    talk.request("GET", "/k", [("Host", b"h")])
+    talk.answer(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\na")
+    with pytest.raises(Broken) as ended:
+        talk.answer(b"")
+    assert not isinstance(ended.value, Spoilt)
 
 
 def test_a_stale_handle_finds_nothing_and_slots_are_used_again():
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -452,3 +452,29 @@
     bench.router.lateness = 2 * policy.SPARE_LATE
     assert bench.ask("other", tenant=0)[1].verdict is Verdict.BOUNCE
     assert bench.ask("third")[1].verdict is Verdict.SEND
+
+
+def test_spoilt_answers_now_and_then_set_nothing_aside_and_do_not_close_the_origin():
+    bench = Bench()
+    for i in range(60):
+        bench.now += 0.05
+        _, answer = bench.ask(f"k{i}")
+        spoilt = i % 10 in (0, 1)
+        [(_, further)] = bench.end(answer.leg, Outcome.SPOILT if spoilt else Outcome.MISSED)
+        assert further.verdict is Verdict.SEND  # a read may go again
+        if not spoilt:
+            [(_, further)] = bench.end(further.leg, Outcome.SPOILT)
+        bench.end(further.leg, Outcome.SETTLED)
+    assert not any(cache.aside_until for cache in bench.router.caches.values())
+    assert bench.router.gate.limit >= policy.GATE_LEAST and not bench.router.gate.tight
+    last = bench.router.ready[0]
+    for _ in range(4):
+        bench.router._blame(last, policy.FAULT_STEP, 0.01, bench.now)
+    assert last.aside_until  # one that spoils all is set aside still
+
+
+def test_a_spoilt_write_is_not_sent_again_unless_its_repeat_is_dropped():
+    bench = Bench()
+    for traffic, verdict in ((ONCE, Verdict.FORFEIT), (MARKED, Verdict.SEND)):
+        _, answer = bench.ask("w", traffic)
+        assert bench.end(answer.leg, Outcome.SPOILT)[0][1].verdict is verdict
