An id in use is not taken a second time, and only the protocol's own forms go on

Checked: nothing in clients.py looked at ids, so the id of another client's open operation went on as a second copy; resp.py took lengths such as 007, and commands in small letters, and sent them on as they came, which a server may answer with -SYNTAX.

Now an id is known while it is open and for 2 to 4 s after that, since its answer may cross the second use.

--- a/gaugehinge/net/clients.py
+++ b/gaugehinge/net/clients.py
@@ -39,6 +39,7 @@
 MOST_DRAINED = 256 * 1024  # bytes read and thrown away behind an error; whoever sends more is cut off
 LEAST_LOOK = 0.01  # between two looks for what may be closed that found nothing
 FULL_LOOK = 0.1  # how often a full door looks for idle connections to close
+IDENT_KEEP = 2.0  # after its answer an id is known for this long, to twice that: a second use may cross it
 PLAIN = re.compile(rb"[!-~]+")  # what may go on in an HTTP header
 
 PONG = b"+PONG\r\n"
@@ -54,6 +55,7 @@
     """A command's place in the order of answers."""
 
     handle: int | None = None  # of its operation, while that is in hand
+    ident: bytes = b""
     answer: bytes | None = None
     held: int = 0  # bytes that count against the memory
 
@@ -96,6 +98,10 @@
         self.quiet = QUIET
         self.last_came = self.clock()
         self.connections: Slots[Client] = Slots()  # until closed
+        self.idents_open: set[bytes] = set()  # until answered or gone
+        self.idents: set[bytes] = set()  # closed lately; moved on, then dropped, each IDENT_KEEP
+        self.idents_before: set[bytes] = set()
+        self.next_idents = 0.0
         self.next_look = 0.0  # for idle connections, once a look found none
         self._sweep()
         self.commands: dict[bytes, Callable[[Client, Message], bytes]] = {
@@ -213,6 +219,7 @@
         for ticket in client.tickets:
             self.held -= ticket.held
             if ticket.handle is not None:
+                self._close_ident(ticket.ident)
                 self.dispatch.client_gone(ticket.handle)
         client.tickets.clear()
         shut(client.raw)
@@ -253,11 +260,11 @@
         parts = message.top.body
         if message.top.kind != ARRAY or not parts or any(p.kind != BULK or p.body is None for p in parts):
             raise Malformed("a command is an array of bulk strings")
-        word = parts[0].body.upper()
-        if word in (b"KV.GET", b"KV.SET"):
+        word = parts[0].body
+        if word in (b"KV.GET", b"KV.SET"):  # in this form alone, since they go on as they came
             self._operation(client, message, word == b"KV.SET")
             return
-        simple = self.commands.get(word)
+        simple = self.commands.get(word.upper())
         self._put(client, simple(client, message) if simple else b"-ERR unknown command\r\n")
 
     def _ping(self, client: Client, message: Message) -> bytes:
@@ -281,11 +288,13 @@
         if client.crowding or full or self.dispatch.deadlines.behind > MOST_BEHIND:
             self._put(client, BUSY)  # it never ran
             return
-        ticket = Ticket(held=held)
+        ticket = Ticket(held=held, ident=cargo.ident)
+        self.idents_open.add(cargo.ident)
         self.held += held
         client.tickets.append(ticket)
 
         def answer(reply: bytes) -> None:
+            self._close_ident(cargo.ident)
             ticket.handle = None
             ticket.answer = reply
             self.held += len(reply) - ticket.held
@@ -296,6 +305,14 @@
         if ticket.answer is None:
             ticket.handle = handle
 
+    def _close_ident(self, ident: bytes) -> None:
+        self.idents_open.discard(ident)
+        now = self.clock()
+        if now >= self.next_idents:
+            self.next_idents = now + IDENT_KEEP
+            self.idents_before, self.idents = self.idents, set()
+        self.idents.add(ident)
+
     def _read_operation(self, message: Message, write: bool) -> tuple[Operation, Cargo]:
         parts = message.top.body
         if len(parts) != 4 + write:
@@ -314,6 +331,9 @@
         if traffic.effect is Effect.DEDUPLICATED and write and not labels.get("k"):
             # With no mark its repeats could not be recognised, and it may be repeated here.
             raise Refused("label k: missing")
+        if ident in self.idents_open or ident in self.idents or ident in self.idents_before:
+            # Two operations of one id: what a server answers the one, or has done for it, is taken for both.
+            raise Refused("id in use")
         now = self.clock()
         left = min(int(wait) / 1000.0, MOST_WAIT)
         room = min(ROOM + self.dispatch.deadlines.lag, ROOM_PART * left)
--- a/gaugehinge/net/resp.py
+++ b/gaugehinge/net/resp.py
@@ -115,7 +115,8 @@
 
 
 def _length(line: bytes, most: int, complaint: str) -> int:
-    if not line.isdigit():
+    # Sent on as it came, a length that others may not read (007) would end a line to a server.
+    if not line.isdigit() or (line.startswith(b"0") and line != b"0"):
         raise Malformed("not a length")
     if len(line) > LENGTH_DIGITS or int(line) > most:
         raise Malformed(complaint)
