Operations and legs are freed when they are over, not by the collector's rare pass

Seen by reading; measured by a test: after 51 operations 29 of their objects were left. Checked with the referrers of each: Operation.legs and Leg.operation hold each other, and a line's task held the leg that it was opened for as its argument. Dispatch._drop now empties the legs, and Pool._run takes the leg from its line. None is left after.

--- a/gaugehinge/net/dispatch.py
+++ b/gaugehinge/net/dispatch.py
@@ -157,6 +157,8 @@
         if not operation.over or any(leg in self.pool.travels for leg in operation.legs):
             return
         if self.exchanges.remove(operation.ident) is not None:
+            # Operation and legs know each other: left so, they stay until the collector's rare full pass.
+            operation.legs.clear()
             for due in (exchange.wait, exchange.overdue):
                 if due is not None:
                     self.deadlines.drop(due)
--- a/gaugehinge/net/pool.py
+++ b/gaugehinge/net/pool.py
@@ -311,16 +311,16 @@
             return
         self.lines += 1
         travel.line = Line(raw, place, travel.dialect.parser(), travel)
-        self.nursery.start_soon(self._run, travel.line, travel)
+        self.nursery.start_soon(self._run, travel.line)
 
-    async def _run(self, line: Line, travel: Travel) -> None:
+    async def _run(self, line: Line) -> None:
         """A line's task: connect, write the leg that it was opened for, read until it ends."""
         spoilt = False
         try:
             with self.deadlines.within(self.connect_time) as limit:
                 await connect(line.raw, line.place.endpoint)
             if not limit.cancelled_caught and not line.closed:
-                self._start(line, travel)
+                self._start(line, line.travel)
                 while not line.closed:
                     data = await receive(line.raw, CHUNK)
                     self._incoming(line, data)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,5 +1,6 @@
 """A real router between stand-ins on loopback, which close, stall, reset and talk nonsense at each stage."""
 
+import gc
 import json
 import os
 import random
@@ -15,11 +16,13 @@
 
 from gaugehinge.net import clients, pool, sockets
 from gaugehinge.net.bulletin import read_bulletin
+from gaugehinge.net.clients import Ticket
 from gaugehinge.net.deadlines import Clock, Deadlines
 from gaugehinge.net.discovery import PACE
-from gaugehinge.net.pool import Cargo, Place, Pool, RespDialect
+from gaugehinge.net.dispatch import Exchange
+from gaugehinge.net.pool import Cargo, Place, Pool, RespDialect, Travel
 from gaugehinge.policy import Router
-from gaugehinge.terms import Leg, Listing, Outcome, Presence
+from gaugehinge.terms import Leg, Listing, Operation, Outcome, Presence
 from tests.helper import FAILURES, SETTINGS, Bench, Cache, Web, fleet, free_port
 
 GONE_WRONG = (b"-BUSY", b"-ERR failed\r\n")
@@ -586,6 +589,28 @@
     run(scene)
 
 
+def test_what_is_over_is_freed_at_once_and_not_by_the_collector(tmp_path):
+    def left():
+        return [o for o in gc.get_objects() if isinstance(o, Operation | Leg | Exchange | Travel | Ticket)]
+
+    async def scene():
+        modes = {b"k0": "hit", b"k1": "miss", b"k2": "error", b"k3": "garbage", b"k4": "busy"}
+        async with fleet(tmp_path, [Cache(lambda command: modes[command[1]]) for _ in range(3)]) as made:
+            client = await made.client()
+            gc.collect()
+            gc.disable()
+            for n in range(50):
+                await client.get(f"k{n % 5}", labels="c=read,d=4000")
+            await client.put()
+            await trio.testing.wait_all_tasks_blocked()
+            assert len(left()) == 0
+
+    try:
+        run(scene)
+    finally:
+        gc.enable()
+
+
 def test_random_failures_leave_one_answer_each_and_no_effect_twice(tmp_path):
     chance = random.Random(11)
     cache_modes = ["hit"] * 6 + ["miss"] * 4 + ["late", "error", "busy", *FAILURES]
