Resets show no queue at the origin and little fault in a cache that answers

Two probes of the lines' ends: 739 resets under a leg, 815 idle lines closed by servers, 586 connects refused by four servers that the stale list still names.

At fault in policy.py: _learn_cache took each reset for LOST_STEP, two in a row set aside; _learn_origin cut the gate for each. Now a lost connection counts 0.1 where the cache answered within DEAD_SILENCE, 0.45 as before where it is silent; a reset at the origin is no queue.

--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -63,7 +63,8 @@
 
 # Set-aside
 FAULT_STEP = 0.25  # what one failure adds to the fault mark, of what is left to 1
-LOST_STEP = 0.45  # the same for a connection that failed: two in a row set aside
+LOST_STEP = 0.45  # the same for a connection that failed at a silent cache: two in a row set aside,
+FLAKY_STEP = 0.1  # but at one that answers others it is most often the network's, or an old connection's
 FAULT_EASE = 0.85  # what a settled leg leaves of the mark
 FAULT_LIMIT = 0.5
 ASIDE_TIME = 2.0  # a set-aside cache returns after this plus a random part
@@ -130,14 +131,12 @@
 LOST = (Outcome.NOT_CONNECTED, Outcome.BROKEN)
 FAULTS = (Outcome.ERRORED, Outcome.SPOILT, Outcome.TIMED_OUT, Outcome.UNKNOWN)
 ANSWERED = (Outcome.SETTLED, Outcome.MISSED, Outcome.SPOILT)
+NO_QUEUE = (*ANSWERED, Outcome.BROKEN)
 
 
 @dataclass(slots=True)
 class Latency:
-    """A decayed mean of legs' times, each over the mean of its traffic type.
-
-    It fades by the time that passed, but no faster than legs come.
-    """
+    """A decayed mean of legs' times over their types' means; fades by time, but no faster than legs come."""
 
     at: float
     legs: float = LEGS_KEEP
@@ -581,7 +580,8 @@
             cache.full_until = now + FULL_PAUSE * (0.5 + self._chance())
             operation.turned += 1
         elif outcome in LOST:
-            self._blame(cache, LOST_STEP, elapsed, now)
+            silent = now - cache.answered_at > DEAD_SILENCE
+            self._blame(cache, LOST_STEP if silent else FLAKY_STEP, elapsed, now)
         elif outcome is Outcome.TIMED_OUT and cache.answered_at > leg.sent:
             # It answers others: it is loaded, not at fault. Set aside, it would only load the next one.
             self._learn_latency(cache, elapsed / self.mean_delay if self.mean_delay else 1.0, now)
@@ -932,15 +932,13 @@
         if outcome in (Outcome.CALLED_OFF, Outcome.NEVER_SENT):
             return
         before = gate.limit
-        # A spoilt answer shows no queue: cut for each, the limit sank to its least and reads waited in vain.
-        gate.learn(elapsed, outcome not in ANSWERED, gate.out + 1 >= 0.5 * gate.limit, now)
+        # Spoilt answers and resets show no queue: cut for each, the limit sank and reads waited in vain.
+        gate.learn(elapsed, outcome not in NO_QUEUE, gate.out + 1 >= 0.5 * gate.limit, now)
         tight = gate.limit < before or (gate.tight and gate.limit < 2 * gate.least)
         if tight != gate.tight:
             gate.tight = tight
-            self.log.append(
-                f"origin {'tight' if tight else 'easy'}: limit {gate.limit:.1f}, latency {gate.smooth:.3f} s"
-                f" over a floor of {gate.floor:.3f} s"
-            )
+            mode = "tight" if tight else "easy"
+            self.log.append(f"origin {mode}: limit {gate.limit:.1f}, {gate.smooth:.3f}/{gate.floor:.3f} s")
 
     def _end_fetch(self, operation: Operation, stored: bool, steps: list[Step], now: float) -> None:
         """The fetch for a key ended: those that waited go to the cache that now holds it.
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -5,6 +5,7 @@
 from helper import MARKED, ONCE, ORIGIN, Answer, Bench, Outcome, Presence, Tenant, Verdict, origin_row, row
 
 from gaugehinge import policy
+from gaugehinge.terms import Leg
 
 
 def homes(bench, keys=300):
@@ -478,3 +479,27 @@
     for traffic, verdict in ((ONCE, Verdict.FORFEIT), (MARKED, Verdict.SEND)):
         _, answer = bench.ask("w", traffic)
         assert bench.end(answer.leg, Outcome.SPOILT)[0][1].verdict is verdict
+
+
+def test_resets_at_a_cache_that_answers_set_it_not_aside_but_silent_ones_go_at_once():
+    bench = Bench(4)
+    for i in range(200):  # two legs in ten are reset, one behind the other
+        bench.now += 0.01
+        _, answer = bench.ask("k")
+        bench.end(answer.leg, Outcome.BROKEN if i % 10 in (5, 6) else Outcome.SETTLED, 0.005)
+    assert not any(cache.aside_until for cache in bench.router.caches.values())
+    bench.now += policy.DEAD_SILENCE + 0.1
+    cache = bench.router.ready[0]
+    for _ in range(2):
+        leg = Leg(bench.ask("k")[0], cache, 0, bench.now)
+        bench.router._learn_cache(leg, Outcome.NOT_CONNECTED, 0.0, bench.now)
+    assert cache.aside_until
+
+
+def test_resets_at_the_origin_are_no_queue_there():
+    bench = Bench()
+    bench.router.gate.limit = 20.0
+    for _ in range(20):
+        _, answer = bench.ask("w", ONCE)
+        bench.end(answer.leg, Outcome.BROKEN)
+    assert bench.router.gate.limit >= 20.0 and not bench.router.gate.tight
