A time-out at an origin that answers others does not count as a queue there

Seen: at four times the load the origin's limit sinks to 4 within seconds while some 200 legs a second settle there in 0.05 s; reads queue for a second and are bounced, and the clients' repeats then take all of the CPU. A probe each second: 3 to 11 time-outs a second at the origin, each of some 0.9 s, on lines that fell silent. Ruled out: CPU before the gate closes (0.3 to 0.5 of 0.7), caches aside (none), the valve (open). At fault: Gate.learn took each such leg as a failure and into its smoothed latency (0.17 to 0.20 s of 0.05). Where the origin answered another leg since, the time-out says nothing of a queue: what did come back shows one.

--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -516,9 +516,8 @@
             if not cache.out and cache.busy < 1e-9:
                 cache.busy = cache.load = 0.0
                 del self.active[cache.ident]
-        self.total = sum(
-            c.load for c in self.active.values() if c.presence is Presence.UP and not c.aside_until
-        )
+        in_use = self.active.values()
+        self.total = sum(c.load for c in in_use if c.presence is Presence.UP and not c.aside_until)
         if now - self.last_beat >= BEAT:
             self._beat(now)
 
@@ -707,10 +706,8 @@
         self._fade(now, 0.0)
 
     def _choose_ready(self) -> None:
-        self.ready = [
-            self.caches[i] for i in sorted(self.caches)
-            if self.caches[i].presence is Presence.UP and not self.caches[i].aside_until
-        ]
+        up = [c for c in self.caches.values() if c.presence is Presence.UP and not c.aside_until]
+        self.ready = sorted(up, key=lambda cache: cache.ident)
         self.fading = [c for c in self.ready if c.share < 1.0]
         self.total = sum(c.load for c in self.ready)
         self.width = max(sum(c.share for c in self.ready), 0.01)
@@ -929,7 +926,11 @@
     def _learn_origin(self, leg: Leg, outcome: Outcome, elapsed: float, now: float) -> None:
         gate = self.gate
         gate.out -= 1
-        if outcome in (Outcome.CALLED_OFF, Outcome.NEVER_SENT):
+        if outcome in ANSWERED:
+            leg.server.answered_at = now
+        # It answers others: this one's connection fell silent. Taken for a queue, a few such closed the gate.
+        lone = outcome is Outcome.TIMED_OUT and leg.server.answered_at > leg.sent
+        if lone or outcome in (Outcome.CALLED_OFF, Outcome.NEVER_SENT):
             return
         before = gate.limit
         # Spoilt answers and resets show no queue: cut for each, the limit sank and reads waited in vain.
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -503,3 +503,17 @@
         _, answer = bench.ask("w", ONCE)
         bench.end(answer.leg, Outcome.BROKEN)
     assert bench.router.gate.limit >= 20.0 and not bench.router.gate.tight
+
+
+def test_a_time_out_at_an_origin_that_answers_others_is_no_queue_there():
+    bench = Bench()
+    bench.router.gate.limit = 20.0
+    for _ in range(20):
+        _, hung = bench.ask("w", ONCE)
+        _, other = bench.ask("w", ONCE)
+        bench.end(other.leg, Outcome.SETTLED)
+        bench.end(hung.leg, Outcome.TIMED_OUT, 1.0)
+    assert bench.router.gate.limit >= 20.0 and bench.router.gate.smooth < 0.03
+    _, hung = bench.ask("w", ONCE)
+    bench.end(hung.leg, Outcome.TIMED_OUT, 1.0)  # nothing was answered since: that is one
+    assert bench.router.gate.limit < 20.0
