An answered line rests for 3 ms, so that a second copy is not the next leg's answer

Seen by reading: Pool._warm takes the line used last, at once, so a second copy that comes 1 ms behind an answer is read as that of the next leg. A test with such a server gets the value of another key without the change.

--- a/gaugehinge/net/pool.py
+++ b/gaugehinge/net/pool.py
@@ -23,6 +23,7 @@
 
 CHUNK = 32 * 1024
 IDLE_PART = 0.7  # of the time after which a server closes an idle line: one written to then may be lost
+REST_TIME = 0.003  # an answered line is not used before this: its end or a second copy may follow the answer
 SWEEP_EVERY = 0.5
 ANSWER_PARTS = 3  # the value, how it went, the load report
 
@@ -280,11 +281,16 @@
     # -- lines
 
     def _warm(self, place: Place) -> Line | None:
-        """The line used last, if the server did not close it meanwhile."""
-        oldest = self.clock() - self.keep_time
-        while place.idle:
-            line = place.idle.pop()
-            if line.idle_since > oldest and silent(line.raw):
+        """The line used last, if it had its rest and the server did not close it meanwhile.
+
+        Used at once, what still came behind one leg's answer was taken for that of the next.
+        """
+        now = self.clock()
+        rested = sum(line.idle_since <= now - REST_TIME for line in place.idle)
+        while rested:
+            rested -= 1
+            line = place.idle.pop(rested)
+            if line.idle_since > now - self.keep_time and silent(line.raw):
                 return line
             self._close(line)
         return None
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -48,6 +48,7 @@
             parts = labels.decode().split(",")
             assert parts[:2] == ["c=read", "t=acme"] and parts[3] == "size=9"
             assert 0 < int(parts[2].removeprefix("d=")) <= 4000
+            await trio.sleep(3 * pool.REST_TIME)
             assert await client.get("k8") == b"$5\r\nof k8\r\n" and made.caches[0].connections == 1
             assert made.origin.seen == [] and len(made.service.dispatch.exchanges) == 0
 
@@ -257,6 +258,28 @@
     run(scene)
 
 
+def test_a_second_copy_behind_an_answer_is_not_the_next_legs_answer(tmp_path, monkeypatch):
+    plain = Cache.answer
+
+    async def twice(cache, stream, command):
+        await plain(cache, stream, command)
+        await trio.sleep(0.003)
+        await plain(cache, stream, command)
+
+    async def scene():
+        async with fleet(tmp_path, [Cache()]) as made:
+            monkeypatch.setattr(Cache, "answer", twice)
+            monkeypatch.setattr(pool, "REST_TIME", 0.5, raising=False)
+            client = await made.client()
+            for n in range(8):
+                assert await client.get(f"k{n}") == b"$5\r\nof k%d\r\n" % n
+            place = made.service.dispatch.pool.places[cache_ident(made)]
+            while place.idle:
+                await trio.sleep(0.01)  # noticed also while a line rests
+
+    run(scene)
+
+
 def test_a_line_that_the_server_closed_is_not_used_again(tmp_path):
     async def scene():
         async with fleet(tmp_path, [Cache()]) as made:
