Told to leave, the router serves on for as long as the platform lets it

Checked: the logs of both routers: told at 13.55 s, ended at 14.38, the next one up at 18.5, at a time that does not depend on when the old one ends; their clients know no other router. Ruled out: operations lost at the stop (none), the start (0.5 s). At fault: Service._leave closed connections as soon as none came for 0.5 s.

Now a router that is told to leave serves on its open connections until 0.9 s before the earliest end that the platform states (longest wait, 3 s of it at most, and 0.7 s), closes from there, and answers all that hangs 0.35 s before it.

--- a/gaugehinge/charter.py
+++ b/gaugehinge/charter.py
@@ -90,6 +90,7 @@
     connect_time: float  # a connection that is not up by then never comes up
     idle_time: float  # a server closes what stood idle for this long
     most_open: int  # operations in hand
+    longest_wait: float  # of a client for an answer
 
 
 def _traffic_type(row: int, page: Page) -> TrafficType:
@@ -140,6 +141,7 @@
         allowed.seconds("connectTimeoutUs", 250_000),
         allowed.seconds("connIdleUs", 10_000_000),
         allowed.count("openCap", 20_000, least=1),
+        max((entry.seconds("abandonTimeUs", 3_000_000) for entry in types), default=3.0),
     )
 
 
--- a/gaugehinge/net/clients.py
+++ b/gaugehinge/net/clients.py
@@ -96,7 +96,6 @@
         self.nursery = nursery
         self.held = 0
         self.quiet = QUIET
-        self.last_came = self.clock()
         self.connections: Slots[Client] = Slots()  # until closed
         self.idents_open: set[bytes] = set()  # until answered or gone
         self.idents: set[bytes] = set()  # closed lately; moved on, then dropped, each IDENT_KEEP
@@ -149,7 +148,6 @@
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         now = self.clock()
         client = Client(raw, now, quiet_since=now)
-        self.last_came = client.came
         client.crowding = len(self.connections) >= self.most and not self._make_room()
         client.slot = self.connections.add(client)
         self.nursery.start_soon(self._serve, client)
@@ -377,10 +375,10 @@
     def _write(self, client: Client, answer: bytes) -> int:
         """Write an answer at once, as far as it goes.
 
-        While leaving, one that is the last thing in its connection ends that in the same step: a busy client
+        While closing, one that is the last thing in its connection ends that in the same step: a busy client
         is never found idle, and all that it sends after that would be lost with the process.
         """
-        parting = self.course.phase is Phase.LEAVING and len(client.tickets) == 1
+        parting = self.course.phase is Phase.CLOSING and len(client.tickets) == 1
         parting = parting and not len(client.parser) and silent(client.raw)
         sent = send_some(client.raw, answer)
         client.last = client.last or (parting and sent == len(answer))
--- a/gaugehinge/net/dispatch.py
+++ b/gaugehinge/net/dispatch.py
@@ -114,6 +114,13 @@
             self._answer(exchange, FAILED)
             self._give_up(exchange)
 
+    def forfeit_rest(self) -> None:
+        """The router ends, and all in hand is answered before: what is out may have run."""
+        for exchange in self.exchanges:
+            if not exchange.answered:
+                self._answer(exchange, FAILED)
+                self._give_up(exchange)
+
     def _give_up(self, exchange: Exchange) -> None:
         try:
             for leg in self.router.gone(exchange.operation):
--- a/gaugehinge/net/phase.py
+++ b/gaugehinge/net/phase.py
@@ -12,7 +12,8 @@
 
     STARTING = auto()  # no list yet: connections are taken, PING is not answered with PONG
     READY = auto()
-    LEAVING = auto()  # told to end: what comes is still taken, what is idle is closed
+    LEAVING = auto()  # told to end: served on, since clients have what is open for as long as it is
+    CLOSING = auto()  # what comes is still taken, what is idle is closed
     ENDED = auto()
 
 
--- a/gaugehinge/net/service.py
+++ b/gaugehinge/net/service.py
@@ -14,7 +14,7 @@
 from ..terms import Presence
 from .berth import Berth, lasting, read_berth
 from .bulletin import Bulletin, read_bulletin
-from .clients import QUIET, Clients
+from .clients import Clients
 from .deadlines import Clock, Deadlines
 from .discovery import Discovery
 from .dispatch import Dispatch
@@ -28,9 +28,10 @@
 BACKLOG = 512
 START_TIME = 2.0  # with no list kept from before, clients are let in after this at the latest
 STILL_COMING = 0.5  # new connections go on coming for less than this after the signal
-MOST_COMING = 1.5  # and if they come for longer, somebody does not heed that we leave
-LAST_WORDS = 1.0  # for commands that were on their way when the listener closed
-LEAVE_TIME = 10.0  # longer than any operation; what is in hand then is stuck
+KILL_SLACK = 0.7  # a platform kills a router no sooner than the longest wait and this after the signal,
+MOST_WAITED = 3.0  # of which it counts no more than this
+CLOSING_TIME = 0.9  # the last part of that, in which connections are closed,
+LAST_PART = 0.35  # and the last of it, by when all is answered
 LOOK_EVERY = 0.02
 
 
@@ -140,20 +141,26 @@
             await self.clients.accept(self.listening)
 
     async def _leave(self, accepting: trio.CancelScope) -> None:
-        """Take what still comes, answer all in hand, close what stands idle."""
+        """Serve on for as long as the platform lets us, then answer all in hand and close what stands idle.
+
+        Some clients know no other router: closed early, all that they ask until the next one is up fails.
+        """
         self._enter(Phase.LEAVING)
         clients = self.clients
         began = self.clock()
-        while self.clock() < min(max(clients.last_came, began) + STILL_COMING, began + MOST_COMING):
-            clients.leave(QUIET)
+        end = began + min(self.berth.charter.longest_wait, MOST_WAITED) + KILL_SLACK
+        closing = max(end - CLOSING_TIME, began + STILL_COMING)
+        while self.clock() < closing and (clients.connections or self.clock() < began + STILL_COMING):
             await trio.sleep(LOOK_EVERY)
+        self._enter(Phase.CLOSING)
         accepting.cancel()
         await trio.lowlevel.checkpoint()
         clients.accept_rest(self.listening)  # what the machine has taken already
         shut(self.listening)
-        closed = self.clock()
-        while clients.connections and self.clock() - began < LEAVE_TIME:
-            if self.clock() - closed > LAST_WORDS and not clients.owe():
+        while clients.connections:
+            if self.clock() > end - LAST_PART:
+                self.dispatch.forfeit_rest()
+            if self.clock() > end and not clients.owe():
                 break  # what is left stands within a command that never comes whole
             clients.leave(0.0)
             await trio.sleep(LOOK_EVERY)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -81,6 +81,7 @@
         return answer.leg.server.ident
 
 
+WAIT = {"abandonTimeUs": 500_000}  # a stop need not wait for longer
 SETTINGS = {
     "allowed": {"mostLegs": 4, "mayCancel": True, "peers": True, "retryAfter": True,
                 "maxRetryAfterUs": 2_000_000, "connectTimeoutUs": 2_000_000, "connIdleUs": 10_000_000},
@@ -89,10 +90,10 @@
     "parties": [{"name": "acme", "share": 1.0, "allowancePerS": 1000.0}],
     "rules": {"coldFrom": 0.3, "coldUs": 8_000_000, "fallMultiple": 2.5, "fallUs": 3_000_000},
     "trafficTypes": [
-        {"name": "read", "effect": "repeatable", "promisedTimeUs": 3_000_000, "overduePayoff": 0.2},
+        {"name": "read", "effect": "repeatable", "promisedTimeUs": 3_000_000, "overduePayoff": 0.2, **WAIT},
         {"name": "mark", "effect": "by_key", "group": "all", "windowUs": 9_000_000,
-         "promisedTimeUs": 3_000_000, "overduePayoff": 0.2},
-        {"name": "once", "effect": "once", "promisedTimeUs": 3_000_000, "overduePayoff": 0.2},
+         "promisedTimeUs": 3_000_000, "overduePayoff": 0.2, **WAIT},
+        {"name": "once", "effect": "once", "promisedTimeUs": 3_000_000, "overduePayoff": 0.2, **WAIT},
     ],
 }
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -20,6 +20,7 @@
 from gaugehinge.net.deadlines import Clock, Deadlines
 from gaugehinge.net.discovery import PACE
 from gaugehinge.net.dispatch import Exchange
+from gaugehinge.net.phase import Phase
 from gaugehinge.net.pool import Cargo, Place, Pool, RespDialect, Travel
 from gaugehinge.net.resp import MOST_ANSWER, bulk
 from gaugehinge.policy import Router
@@ -403,15 +404,37 @@
             while not made.caches[0].commands:
                 await trio.sleep(0.01)
             os.kill(os.getpid(), signal.SIGTERM)
-            assert await idle.answer() is None
             late = await made.client()
             assert await late.get("k2", "i2") == b"$5\r\nof k2\r\n" and await late.answer() is None
+            assert await idle.answer() is None
             assert await busy.answer() == b"$5\r\nof k1\r\n" and await busy.answer() is None
             await made.ended.wait()
 
     run(scene)
 
 
+def test_told_to_leave_it_serves_on_and_answers_what_hangs_before_the_end(tmp_path):
+    async def scene():
+        async with fleet(tmp_path, origin=lambda *call: "stall") as made:
+            hung, steady = await made.client(), await made.client()
+            await hung.send("KV.SET", "k1", "i1", "c=once,d=60000", "new")
+            while not made.origin.seen:
+                await trio.sleep(0.01)
+            os.kill(os.getpid(), signal.SIGTERM)
+            while made.service.course.phase is not Phase.LEAVING:
+                await trio.sleep(0.01)
+            began = trio.current_time()
+            for _ in range(3):  # on the connection that it has
+                assert await steady.get("k2") == b"$5\r\nof k2\r\n"
+            assert made.service.course.phase is Phase.LEAVING
+            assert await hung.answer() == b"-ERR failed\r\n" and await hung.answer() is None
+            assert await steady.answer() is None
+            await made.ended.wait()
+            assert trio.current_time() - began < 20
+
+    run(scene)
+
+
 def test_more_clients_than_places_are_told_busy_and_none_is_lost(tmp_path):
     async def scene():
         async with fleet(tmp_path, [Cache("late")], sockets=64) as made:
