A load report that cannot be read spoils no answer of the origin

Seen by reading: h11 refuses a whole answer for one control character in a header, so an X-Pressure that cannot be read made a good answer a spoilt one, and a write that had run a forfeit. A test shows it (also byte by byte, behind a 1xx head). Talk.answer now hands h11 whole heads without that line, which nothing here reads.

--- a/gaugehinge/net/origin.py
+++ b/gaugehinge/net/origin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 from urllib.parse import quote
 
@@ -12,6 +13,8 @@
 from .resp import MOST_ANSWER, bulk
 
 MOST_HEAD = 32 * 1024
+BLANK = re.compile(rb"\n\r?\n")  # ends a head
+REPORT = re.compile(rb"(?i)\nx-pressure:[^\n]*")  # the load report, which is not used here
 
 
 class Answer(NamedTuple):
@@ -31,6 +34,7 @@
         self._state = h11.Connection(h11.CLIENT, max_incomplete_event_size=MOST_HEAD)
         self._head: h11.Response | None = None
         self._body = bytearray()
+        self._early = bytearray()  # of a head that is not whole yet
 
     def request(
         self, method: str, target: str, headers: list[tuple[str, bytes]], body: bytes | None = None,
@@ -44,7 +48,25 @@
         return data + self._state.send(h11.EndOfMessage())
 
     def answer(self, data: bytes) -> Answer | None:
-        """What came, or nothing at the end; the answer once it is whole. Raises Broken on anything else."""
+        """What came, or nothing at the end; the answer once it is whole. Raises Broken on anything else.
+
+        A head goes on whole and without its load report: one that cannot be read would spoil a good answer.
+        """
+        if self._head is not None or not data:
+            return self._take(data)
+        self._early += data
+        blank = BLANK.search(self._early)
+        if blank is None and len(self._early) < MOST_HEAD:
+            return None
+        end = blank.end() if blank else len(self._early)
+        head, rest = bytes(self._early[:end]), bytes(self._early[end:])
+        self._early.clear()
+        got = self._take(REPORT.sub(b"", head))
+        if got is not None:
+            return got._replace(keep=got.keep and not rest)
+        return self.answer(rest) if rest else None
+
+    def _take(self, data: bytes) -> Answer | None:
         try:
             self._state.receive_data(data)
             while True:
@@ -66,6 +88,7 @@
 
     def _whole(self) -> Answer:
         head, body = self._head, bytes(self._body)
+        self._head = None
         self._body.clear()
         keep = self._state.our_state is h11.DONE and self._state.their_state is h11.DONE
         keep = keep and self._state.trailing_data == (b"", False)  # nothing behind it, not the end either
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -113,6 +113,16 @@
         talk.request("GET", "/k", [("Host", b"h")])
         with pytest.raises(Spoilt):
             talk.answer(bad)
+    odd = b"HTTP/1.1 103 Wait\r\nx-pressure: \x01\r\n\r\n"
+    odd += whole.replace(b"\r\n", b"\r\nX-Pressure:\x00=\xff\r\n", 1)
+    for pieces in ([odd], [odd[i:i + 1] for i in range(len(odd))]):
+        talk = Talk(100)
+        talk.request("GET", "/k", [("Host", b"h")])
+        answers = [talk.answer(piece) for piece in pieces]
+        assert answers[-1][2:] == (b"ab", True) and not any(answers[:-1])
+    empty = Talk(100)
+    empty.request("GET", "/k", [("Host", b"h")])
+    assert not empty.answer(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200").keep
     talk = Talk(100)
     talk.request("GET", "/k", [("Host", b"h")])
     talk.answer(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\na")
