While the router leaves, used connections do not end for their quiet

Seen: told to leave, a router gets its operations on for 0.6 to 2.8 s, and then none at all, though 84 connections are open. Ruled out: PING (none comes then; answered with PONG while leaving: no difference, not kept).

The stop of the operations is not explained in full: open.

--- a/gaugehinge/net/clients.py
+++ b/gaugehinge/net/clients.py
@@ -168,6 +168,7 @@
         Each holds a descriptor for as long as its client likes, and none of them has been taken.
         """
         now = self.clock()
+        leaving = self.course.phase is Phase.LEAVING  # then clients get no new one for one that ends
         for client in self.connections:
             if client.tickets or client.last:
                 continue
@@ -175,7 +176,7 @@
                 if (client.began if client.used else client.came) < now - WHOLE_TIME:
                     client.last = True
                     self._put(client, b"-ERR protocol: command not whole in time\r\n")
-            elif client.quiet_since < now - IDLE_TIME:
+            elif client.quiet_since < now - IDLE_TIME and not (leaving and client.used):
                 self._hang_up(client)
         self.dispatch.deadlines.at(now + SWEEP_EVERY, self._sweep)
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -435,6 +435,22 @@
     run(scene)
 
 
+def test_while_leaving_a_connection_that_was_used_does_not_end_for_its_quiet(tmp_path, monkeypatch):
+    monkeypatch.setattr(clients, "IDLE_TIME", 0.0)
+
+    async def scene():
+        async with fleet(tmp_path) as made:
+            door = made.service.clients
+            made.service.course.enter(Phase.LEAVING, 0)
+            used, silent = await made.client(), await made.client()
+            assert (await used.get()).startswith(b"$") and await silent.answer() is None
+            door.quiet = 0.0
+            door._sweep()
+            assert (await used.get()).startswith(b"$")
+
+    run(scene)
+
+
 def test_more_clients_than_places_are_told_busy_and_none_is_lost(tmp_path):
     async def scene():
         async with fleet(tmp_path, [Cache("late")], sockets=64) as made:
