Rehearsal: emulator, open-loop load, referee and the command gaugehinge, end to end

Need: the systems round the router have to be played, loaded and broken on one machine by a newcomer; the toy needed two terminals and showed nothing happen.

Change: gaugehinge/emulator (cache servers, origin, discovery and a front in processes of their own, their decisions free of I/O), load (schedule drawn before the run, driver, records, referee of the four rules), rehearsal (script, time line, runner, results, report), installation (TOML file read by msgspec), forms (units, TOML, records) and cli (click). The service takes what reads its configuration again as a call. The toy goes.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
-# build, test, lint, run: the same commands as in the README.
+# build, test, lint, demo: the same commands as in the README.
 PYTHON ?= python3
 BIN = .venv/bin
 
-.PHONY: build test lint run toy
+.PHONY: build test lint demo
 
 build: $(BIN)/ruff
 
-$(BIN)/ruff: requirements.txt requirements-dev.txt
+$(BIN)/ruff: requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv .venv
 	$(BIN)/pip -q install -r requirements-dev.txt
 	touch $@
@@ -16,9 +16,7 @@
 
 lint: build
 	$(BIN)/ruff check .
+	$(BIN)/lint-imports
 
-run: build
-	LB_CONFIG=example/config.json $(BIN)/python -m gaugehinge
-
-toy: build
-	PYTHONPATH=. $(BIN)/python example/toy.py serve
+demo: build
+	$(BIN)/gaugehinge demo
--- a/gaugehinge/__main__.py
+++ b/gaugehinge/__main__.py
@@ -1,16 +1,15 @@
 """`python -m gaugehinge`: one router, by the configuration that LB_CONFIG names."""
 
-import gc
 import os
 import signal
 import sys
+from functools import partial
 
-import trio
 from loguru import logger
 
 from .charter import BadCharter
 from .net.berth import read_berth
-from .net.service import Service
+from .net.run import run
 
 FORM = "{time:HH:mm:ss.SSS} {level.name} {message}"
 
@@ -24,14 +23,7 @@
     except BadCharter as bad:
         print(f"bad configuration: {bad}", file=sys.stderr)
         return 2
-    gc.freeze()
-    gc.set_threshold(20_000, 20, 20)  # passes over what lives long cost answers their time
-    try:
-        trio.run(Service(berth, os.environ).run)
-    except OSError as bad:
-        print(f"cannot serve at {berth.listen[0]}:{berth.listen[1]}: {bad}", file=sys.stderr)
-        return 1
-    return 0
+    return run(berth, partial(read_berth, os.environ))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/gaugehinge/data/__init__.py
@@ -0,0 +1,1 @@
+"""Files that come with the package: the script of `gaugehinge demo`."""
--- /dev/null
+++ b/gaugehinge/installation/build.py
@@ -0,0 +1,79 @@
+"""An installation to what a router is told at its start."""
+
+from __future__ import annotations
+
+import secrets
+from pathlib import Path
+
+from ..charter import Charter
+from ..forms import toml
+from ..net.berth import Address, Berth, address
+from ..terms import Deployment, Effect, Group, Tenant, TrafficType
+from .form import Installation, TrafficEntry
+
+EFFECTS = {"idempotent": Effect.IDEMPOTENT, "deduplicated": Effect.DEDUPLICATED,
+           "unrepeatable": Effect.UNREPEATABLE}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+
+
+def read_installation(path: str | Path) -> Installation:
+    """The file as structs. Raises toml.BadFile."""
+    return toml.read(path, Installation)
+
+
+def _traffic(row: int, entry: TrafficEntry) -> TrafficType:
+    return TrafficType(
+        row, EFFECTS[entry.effect], GROUPS[entry.group], float(entry.memory), float(entry.promised_time),
+        entry.payoff, entry.late_payoff,
+    )
+
+
+def charter_of(told: Installation) -> Charter:
+    """The same values that the platform's JSON brings."""
+    limits, rules, tier = told.limits, told.rules, told.tier
+    deployment = Deployment(
+        seed=told.seed or secrets.randbits(63),
+        me=tier.me,
+        routers=tier.routers,
+        traffic_types=tuple(_traffic(i, entry) for i, entry in enumerate(told.traffic)),
+        tenants=tuple(Tenant(t.share, float(t.allowance)) for t in told.tenants),
+        aside=rules.asks_origin,
+        origin_kind=rules.origin_kind or None,
+        tick=float(rules.tick),
+        most_legs=limits.legs,
+        cold_from=rules.cold_from,
+        cold_time=float(rules.cold_time),
+        fall_multiple=rules.fall_multiple,
+        fall_time=float(rules.fall_time),
+        may_cancel=rules.may_cancel,
+        may_message=bool(tier.listen),
+        must_ask=True,  # over HTTP nothing comes unasked
+        longest_come_back=float(limits.come_back),
+        beyond_share=rules.beyond_share,
+        payoff_by_work=rules.payoff_by_work,
+    )
+    return Charter(
+        deployment,
+        {entry.name: i for i, entry in enumerate(told.traffic)},
+        {entry.name: i for i, entry in enumerate(told.tenants)},
+        float(limits.connect_time),
+        float(limits.idle_time),
+        limits.in_hand,
+        max(float(entry.abandon_time) for entry in told.traffic),
+    )
+
+
+def berth_of(told: Installation) -> Berth:
+    """What `net.service` starts from."""
+    peer_listen: Address | None = address(told.tier.listen, "tier.listen") if told.tier.listen else None
+    return Berth(
+        name=told.name,
+        listen=address(told.listen.clients, "listen.clients"),
+        discovery=address(told.discovery.address, "discovery.address"),
+        charter=charter_of(told),
+        memory=int(told.limits.memory),
+        sockets=told.limits.sockets,
+        peer_listen=peer_listen,
+        peers=tuple(address(peer, f"tier.peers[{i}]") for i, peer in enumerate(told.tier.peers)),
+        known=None,
+    )
--- /dev/null
+++ b/gaugehinge/installation/form.py
@@ -0,0 +1,195 @@
+"""The installation file's form. The reference page and the schema are made from these structs."""
+
+from __future__ import annotations
+
+import ipaddress
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from ..forms.toml import BadField, above, unique
+from ..forms.units import Rate, Seconds, Size
+
+LEAST_MEMORY = 32 << 20  # under this the interpreter and its buffers do not fit
+LEAST_SOCKETS = 64  # with fewer there is no room for clients beside the legs
+
+
+def endpoint(field: str, told: str) -> None:
+    """`10.0.0.4:6379` or `[::1]:6379`. Raises BadField."""
+    host, _, port = told.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        good = 0 < int(port) < 65536
+    except ValueError:
+        good = False
+    if not good:
+        raise BadField(field, f"{told!r} is no numeric address and port")
+
+
+class Listen(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where the router serves."""
+
+    clients: Annotated[
+        str, Meta(description="address and port for clients, RESP2", examples=["127.0.0.1:6379"])
+    ]
+
+    def __post_init__(self) -> None:
+        endpoint("clients", self.clients)
+
+
+class DiscoveryAt(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where the list of cache servers comes from."""
+
+    address: Annotated[
+        str, Meta(description="address and port of discovery, HTTP/1.1", examples=["127.0.0.1:7300"])
+    ]
+
+    def __post_init__(self) -> None:
+        endpoint("address", self.address)
+
+
+class Tier(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The routers that serve side by side."""
+
+    me: Annotated[int, Meta(description="this router's number among them, from 0", ge=0)] = 0
+    routers: Annotated[int, Meta(description="how many there are", ge=1, le=100_000)] = 1
+    listen: Annotated[str, Meta(description="address for their datagrams; empty: none are heard")] = ""
+    peers: Annotated[tuple[str, ...], Meta(description="their addresses in the order of their numbers")] = ()
+
+    def __post_init__(self) -> None:
+        if self.me >= self.routers:
+            raise BadField("me", f"{self.me} is not among {self.routers} routers")
+        if self.listen:
+            endpoint("listen", self.listen)
+        for i, peer in enumerate(self.peers):
+            endpoint(f"peers[{i}]", peer)
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the router may use."""
+
+    memory: Annotated[Size, Meta(description="memory; buffers and operations in hand follow it")] = Size(
+        192 << 20
+    )
+    sockets: Annotated[int, Meta(description="file descriptors", ge=LEAST_SOCKETS, le=1 << 20)] = 1024
+    legs: Annotated[int, Meta(description="legs of one operation at most", ge=1, le=100)] = 4
+    in_hand: Annotated[int, Meta(description="operations in hand at most", ge=1, le=1 << 20)] = 20_000
+    connect_time: Annotated[Seconds, Meta(description="a connection to a server is up by then or never")] = (
+        Seconds(0.25)
+    )
+    idle_time: Annotated[Seconds, Meta(description="servers close what stood idle for this long")] = Seconds(
+        10.0
+    )
+    come_back: Annotated[
+        Seconds,
+        Meta(description="longest time that a bounced client is told to stay away; `0s`: none is told"),
+    ] = Seconds(2.0)
+
+    def __post_init__(self) -> None:
+        if self.memory < LEAST_MEMORY:
+            raise BadField("memory", "under 32MiB")
+        above("connect_time", self.connect_time)
+        above("idle_time", self.idle_time)
+
+
+class Rules(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What is true of the cache servers and the origin."""
+
+    cold_from: Annotated[
+        float, Meta(description="part of its speed that a cold server starts with", gt=0, le=1)
+    ] = 0.3
+    cold_time: Annotated[Seconds, Meta(description="until a cold server is warm")] = Seconds(8.0)
+    fall_multiple: Annotated[
+        float,
+        Meta(
+            description="sent more than this many times what it can do, a cold server falls over",
+            ge=1,
+            le=100,
+        ),
+    ] = 2.5
+    fall_time: Annotated[Seconds, Meta(description="after so long of that")] = Seconds(3.0)
+    origin_kind: Annotated[str, Meta(description="the `model` that marks the origin in discovery's list")] = (
+        "origin"
+    )
+    asks_origin: Annotated[
+        bool, Meta(description="a miss comes back to the router, which asks the origin itself")
+    ] = True
+    may_cancel: Annotated[bool, Meta(description="closing a connection gives up the leg on it")] = True
+    tick: Annotated[Seconds, Meta(description="grain of time")] = Seconds(0.005)
+    beyond_share: Annotated[
+        float, Meta(description="part of the payoff beyond a tenant's share", ge=0, le=1)
+    ] = 1.0
+    payoff_by_work: Annotated[bool, Meta(description="payoffs count for the work, not each operation")] = (
+        False
+    )
+
+    def __post_init__(self) -> None:
+        above("tick", self.tick)
+        above("cold_time", self.cold_time)
+
+
+class TenantEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A tenant, label `t`."""
+
+    name: Annotated[str, Meta(description="as in the label", min_length=1, max_length=200)]
+    share: Annotated[float, Meta(description="its weight against the others", ge=0)] = 1.0
+    allowance: Annotated[
+        Rate, Meta(description="operations a second over all routers that are inside its share")
+    ] = Rate(0)
+
+
+class TrafficEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A traffic type, label `c`."""
+
+    name: Annotated[str, Meta(description="as in the label", min_length=1, max_length=200)]
+    effect: Annotated[
+        Literal["idempotent", "deduplicated", "unrepeatable"],
+        Meta(description="what a repeat does: nothing, nothing while its mark is remembered, harm"),
+    ]
+    promised_time: Annotated[Seconds, Meta(description="answers after it earn `late_payoff` of the payoff")]
+    abandon_time: Annotated[Seconds, Meta(description="longest wait of a client")] = Seconds(3.0)
+    group: Annotated[
+        Literal["all", "zone", "cell"], Meta(description="the servers that drop each other's repeats")
+    ] = "cell"
+    memory: Annotated[Seconds, Meta(description="how long marks are remembered")] = Seconds(0)
+    payoff: Annotated[float, Meta(description="of one answer in time", ge=0)] = 1.0
+    late_payoff: Annotated[float, Meta(description="part of it for a late one", ge=0, le=1)] = 0.0
+
+    def __post_init__(self) -> None:
+        above("promised_time", self.promised_time)
+        above("abandon_time", self.abandon_time)
+        if self.effect == "deduplicated":
+            above("memory", self.memory)
+
+
+class Installation(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One router of an installation."""
+
+    listen: Listen
+    discovery: DiscoveryAt
+    traffic: Annotated[
+        tuple[TrafficEntry, ...], Meta(description="the table of traffic types", min_length=1, max_length=256)
+    ]
+    name: Annotated[str, Meta(description="in its log", min_length=1, max_length=200)] = "router"
+    seed: Annotated[int, Meta(description="of its draws; 0: new with every start", ge=0)] = 0
+    tenants: Annotated[tuple[TenantEntry, ...], Meta(max_length=4096)] = ()
+    tier: Tier = Tier()
+    limits: Limits = Limits()
+    rules: Rules = Rules()
+
+    def __post_init__(self) -> None:
+        unique("traffic", [entry.name for entry in self.traffic])
+        unique("tenants", [entry.name for entry in self.tenants])
+        if self.tier.listen and len(self.tier.peers) != self.tier.routers:
+            raise BadField("tier.peers", f"{len(self.tier.peers)} addresses for {self.tier.routers} routers")
+
+
+REFERENCE = (
+    "Installation file",
+    "TOML, read by `gaugehinge serve FILE` and `gaugehinge check FILE`. "
+    "Figures carry their units. An unknown field, "
+    "a wrong type, a figure out of its bounds or two entries of one name: exit "
+    "2 and one line with the field's path. "
+    "Made by `gaugehinge schema --page`.",
+)
--- /dev/null
+++ b/gaugehinge/load/driver.py
@@ -0,0 +1,395 @@
+"""Open-loop clients: each operation goes out at its time, whatever became of those before it.
+
+Its row in the record, behind `op`: number, first try's number, try, tenant, traffic type, key,
+write, planned, sent,
+ended (seconds from the start of the run), outcome, come-back time, wait, mark, own port, router,
+lateness, fresh,
+hang. `second`: bytes that no operation waited for.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from zlib import crc32
+
+import trio
+from loguru import logger
+
+from ..emulator.form import Traffic
+from ..net.deadlines import Deadlines, Due
+from ..net.resp import ARRAY, BULK, ERROR, MOST_ANSWER, Malformed, Message, Parser, bulk
+from ..net.sockets import connect, receive, send_all, send_some, shut, silent, tcp
+from .form import Job
+from .plan import NEVER, Plan
+
+LATE_LOOK = 0.3  # an answer after the abandon time is still looked for, so that it is seen how late it came
+CONNECT_TIME = 1.0
+IDLE_KEEP = 1.5  # a connection idle for longer is not used again: the router ends it
+IDLE_AGAIN = 1.0  # until an idle connection that was closed is opened again
+MOST_DUE = 200  # operations sent in one go, before answers are read again
+PING = b"*1\r\n$4\r\nPING\r\n"
+
+SETTLED, BOUNCED, FORFEITED = "settled", "bounced", "forfeited"
+UNANSWERED = "unanswered"  # its time was over
+LOST = "lost"  # the connection ended without an answer
+UNREACHED = "unreached"  # no connection came up
+HUNG_UP = "hung up"  # the client left
+WRONG = "wrong"  # an answer that was made for another operation
+SPOILT = "spoilt"  # no RESP
+UNSENT = "unsent"  # the driver's own limit
+ANSWERED = (SETTLED, BOUNCED, FORFEITED, WRONG)
+
+
+@dataclass(slots=True, eq=False)
+class Try:
+    """One try of an operation."""
+
+    number: int
+    first: int
+    count: int  # 0: the first
+    tenant: int
+    kind: int
+    key: int
+    fresh: bool
+    hang: float
+    planned: float
+    sent: float = 0.0
+    mark: str = ""
+    lateness: float = 0.0
+    resent: bool = False
+    conn: Conn | None = None
+    due: Due | None = None
+
+    @property
+    def ident(self) -> bytes:
+        return b"%016x" % self.number
+
+
+@dataclass(slots=True, eq=False)
+class Conn:
+    """A client's connection; one operation at a time."""
+
+    raw: socket.socket
+    target: int
+    parser: Parser = field(default_factory=lambda: Parser(MOST_ANSWER))
+    current: Try | None = None
+    last: bytes = b""  # the id answered last
+    port: int = 0
+    used: int = 0
+    idle_since: float = 0.0
+    closed: bool = False
+
+
+class Driver:
+    """All clients of one worker."""
+
+    def __init__(
+        self, job: Job, plan: Plan, deadlines: Deadlines, nursery: trio.Nursery, note: Callable[..., None]
+    ) -> None:
+        self.job = job
+        self.plan = plan
+        self.deadlines = deadlines
+        self.clock = deadlines.clock
+        self.nursery = nursery
+        self.note = note
+        self.zero = 0.0
+        self.idle: list[Conn] = []  # oldest first
+        self.connections = 0
+        self.most = max(job.load.connections // job.load.workers, 1)
+        self.open: set[Try] = set()
+        self.repeats_due = 0
+        self.count = 0
+        self.outcomes: dict[str, int] = {}
+        self._numbers = job.worker << 40
+        self._commands = [self._command_parts(entry) for entry in job.traffic]
+        self._turn = job.worker
+
+    def _command_parts(self, entry: Traffic) -> tuple[bytes, int, bytes]:
+        wait = int(float(entry.abandon_time) * self.job.load.wait * 1000)
+        value = bulk(b"v" * int(entry.size)) if entry.write else b""
+        return b"KV.SET" if entry.write else b"KV.GET", wait, value
+
+    # -- the schedule
+
+    async def run(self, zero: float) -> None:
+        """Send all by its time, then wait until the last one has ended."""
+        self.zero = zero
+        plan, job = self.plan, self.job
+        mine = range(job.worker, len(plan), job.load.workers)
+        at, tenant, kind, key = plan.at.tolist(), plan.tenant.tolist(), plan.kind.tolist(), plan.key.tolist()
+        fresh, hang = plan.fresh.tolist(), plan.hang.tolist()
+        sent_in_a_row = 0
+        for i in mine:
+            wait = zero + at[i] - self.clock()
+            if wait > 0:
+                await trio.sleep(wait)
+                sent_in_a_row = 0
+            elif (sent_in_a_row := sent_in_a_row + 1) >= MOST_DUE:
+                await trio.lowlevel.checkpoint()
+                sent_in_a_row = 0
+            number = self._number()
+            entry = job.traffic[kind[i]]
+            mark = f"m{number:x}" if entry.effect == "deduplicated" else ""
+            self._begin(
+                Try(number, number, 0, tenant[i], kind[i], key[i], fresh[i], hang[i], at[i], mark=mark)
+            )
+        while self.open or self.repeats_due:
+            await trio.sleep(0.05)
+
+    def _number(self) -> int:
+        self._numbers += 1
+        return self._numbers
+
+    # -- tries
+
+    def _begin(self, one: Try) -> None:
+        now = self.clock()
+        one.lateness = now - self.zero - one.planned
+        one.sent = now
+        self.open.add(one)
+        self._send(one)
+
+    def _send(self, one: Try) -> None:
+        conn = None if one.fresh else self._warm()
+        if conn is not None:
+            self._write(conn, one)
+        elif self.connections >= self.most:
+            self._end(one, UNSENT)
+        else:
+            self._turn += 1
+            raw = tcp(self.job.targets[self._turn % len(self.job.targets)])
+            conn = Conn(raw, self._turn % len(self.job.targets))
+            self.connections += 1
+            conn.current, one.conn = one, conn
+            self.nursery.start_soon(self._run_conn, conn)
+
+    def _warm(self) -> Conn | None:
+        oldest = self.clock() - IDLE_KEEP
+        while self.idle:
+            conn = self.idle.pop()
+            if conn.idle_since > oldest and silent(conn.raw):
+                return conn
+            self._close(conn)
+        return None
+
+    def _write(self, conn: Conn, one: Try) -> None:
+        word, wait, value = self._commands[one.kind]
+        sender = self.job.senders[one.tenant].name
+        labels = f"c={self.job.traffic[one.kind].name},t={sender},d={wait}"
+        if one.mark:
+            labels += f",k={one.mark}"
+        if one.count and self.job.load.repeats.mark:
+            labels += ",r=1"
+        data = b"*%d\r\n%b%b%b%b%b" % (
+            5 if value else 4,
+            bulk(word),
+            bulk(b"k%d" % one.key),
+            bulk(one.ident),
+            bulk(labels.encode()),
+            value,
+        )
+        conn.current, one.conn = one, conn
+        conn.used += 1
+        if not one.resent:
+            one.sent = self.clock()
+        if one.due is None:
+            hang = one.hang if one.hang != NEVER else wait / 1000.0 + LATE_LOOK
+            one.due = self.deadlines.at(self.clock() + hang, self._over, one)
+        try:
+            sent = send_some(conn.raw, data)
+        except OSError:
+            self.nursery.start_soon(self._broken, conn)
+            return
+        if sent < len(data):
+            self.nursery.start_soon(self._push, conn, data[sent:])
+
+    async def _broken(self, conn: Conn) -> None:
+        self._ended(conn)
+
+    async def _push(self, conn: Conn, rest: bytes) -> None:
+        try:
+            await send_all(conn.raw, rest)
+        except (OSError, trio.ClosedResourceError):
+            self._ended(conn)
+
+    def _over(self, one: Try) -> None:
+        """The client waits no longer."""
+        one.due = None
+        conn = one.conn
+        if conn is not None:
+            conn.current = None
+            self._close(conn)
+        self._end(one, HUNG_UP if one.hang != NEVER else UNANSWERED)
+
+    def _end(self, one: Try, outcome: str, come_back: float = 0.0) -> None:
+        if one not in self.open:
+            return
+        self.open.discard(one)
+        if one.due is not None:
+            self.deadlines.drop(one.due)
+        conn, now = one.conn, self.clock()
+        self.count += 1
+        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+        entry = self.job.traffic[one.kind]
+        self.note(
+            "op",
+            one.number,
+            one.first,
+            one.count,
+            one.tenant,
+            one.kind,
+            one.key,
+            entry.write,
+            one.planned,
+            one.sent - self.zero,
+            now - self.zero,
+            outcome,
+            come_back,
+            self._commands[one.kind][1] / 1000.0,
+            one.mark,
+            conn.port if conn else 0,
+            conn.target if conn and self.job.routers else -1,
+            one.lateness,
+            one.fresh,
+            one.hang,
+        )
+        self._repeat(one, outcome, come_back, now)
+
+    def _repeat(self, one: Try, outcome: str, come_back: float, now: float) -> None:
+        """A client tries again where that does no harm, after a wait."""
+        repeats = self.job.load.repeats
+        harmless = outcome in (BOUNCED, UNREACHED)
+        again = harmless or (
+            outcome in (FORFEITED, UNANSWERED, LOST, SPOILT)
+            and self.job.traffic[one.kind].effect != "unrepeatable"
+        )
+        if not again or one.count >= repeats.most:
+            return
+        wait = float(repeats.wait) * 2**one.count
+        if come_back and repeats.heed:
+            wait = come_back
+        wait *= 1.0 + 0.5 * crc32(b"%d %d" % (one.first, one.count)) / 0x100000000
+        self.repeats_due += 1
+        self.deadlines.at(now + wait, self._again, one, now + wait - self.zero)
+
+    def _again(self, one: Try, planned: float) -> None:
+        self.repeats_due -= 1
+        self._begin(
+            Try(
+                self._number(),
+                one.first,
+                one.count + 1,
+                one.tenant,
+                one.kind,
+                one.key,
+                one.fresh,
+                NEVER,
+                planned,
+                mark=one.mark,
+            )
+        )
+
+    # -- connections
+
+    async def _run_conn(self, conn: Conn) -> None:
+        """A connection's task: up, then read until it ends."""
+        up = False
+        try:
+            with trio.move_on_after(CONNECT_TIME):
+                await connect(conn.raw, self.job.targets[conn.target])
+                up = True
+            if up and not conn.closed:
+                conn.port = conn.raw.getsockname()[1]
+                if conn.current is not None:
+                    self._write(conn, conn.current)
+                while not conn.closed and (data := await receive(conn.raw)):
+                    self._incoming(conn, data)
+        except (OSError, trio.ClosedResourceError):
+            pass
+        except Malformed:
+            if conn.current is not None:
+                self._end(conn.current, SPOILT)
+                conn.current = None
+        except Exception:
+            logger.exception("a client's connection failed")
+        finally:
+            self._ended(conn, up)
+
+    def _ended(self, conn: Conn, up: bool = True) -> None:
+        """The connection is over; so is what waits on it, but for what the router cannot have read."""
+        if conn in self.idle:
+            self.idle.remove(conn)
+        self._close(conn)
+        one, conn.current = conn.current, None
+        if one is None or one not in self.open:
+            return
+        if up and conn.used > 1 and not one.resent and not len(conn.parser):
+            # The router may end a connection between two operations: one that crossed this goes again, once.
+            one.resent, one.conn = True, None
+            self._send(one)
+            return
+        self._end(one, LOST if up else UNREACHED)
+
+    def _close(self, conn: Conn) -> None:
+        if not conn.closed:
+            conn.closed = True
+            self.connections -= 1
+            shut(conn.raw)
+
+    def _incoming(self, conn: Conn, data: bytes) -> None:
+        conn.parser.feed(data)
+        while (message := conn.parser.next()) is not None:
+            one = conn.current
+            if one is None:
+                self.note("second", conn.last.decode(), self.clock() - self.zero, message.raw[:60])
+                self._close(conn)
+                return
+            conn.current, conn.last = None, one.ident
+            outcome, come_back = read_answer(
+                message, b"k%d" % one.key, one.ident, bool(self._commands[one.kind][2])
+            )
+            self._end(one, outcome, come_back)
+            if conn.current is None and not conn.closed:
+                self._rest(conn, one)
+
+    def _rest(self, conn: Conn, one: Try) -> None:
+        if len(conn.parser):
+            return  # what follows is looked at first: it is a second answer
+        if one.fresh:
+            self._close(conn)
+            return
+        conn.idle_since = self.clock()
+        self.idle.append(conn)
+
+    async def stand_idle(self, target: int) -> None:
+        """One connection of the wide fan-in: open, asked once, then idle until closed; again and again."""
+        while True:
+            raw = tcp(self.job.targets[target])
+            try:
+                with trio.fail_after(CONNECT_TIME):
+                    await connect(raw, self.job.targets[target])
+                    await send_all(raw, PING)
+                while await receive(raw):
+                    pass
+            except (OSError, trio.TooSlowError):
+                pass
+            finally:
+                shut(raw)
+            await trio.sleep(IDLE_AGAIN)
+
+
+def read_answer(message: Message, key: bytes, ident: bytes, write: bool) -> tuple[str, float]:
+    """Outcome and come-back time. A value must have been made for this operation."""
+    top = message.top
+    if top.kind == ERROR:
+        word, _, rest = top.body.partition(b" ")
+        if word != b"BUSY":
+            return FORFEITED, 0.0
+        return BOUNCED, int(rest) / 1000.0 if rest.isdigit() else 0.0
+    value = top.body[0] if top.kind == ARRAY and top.body else top
+    if value.kind != BULK or value.body is None:
+        return FORFEITED, 0.0
+    made_for = b"receipt " + ident if write else key + b" " + ident + b" "
+    return (SETTLED if value.body.startswith(made_for) else WRONG), 0.0
--- /dev/null
+++ b/gaugehinge/load/worker.py
@@ -0,0 +1,77 @@
+"""One process of clients: `python -m gaugehinge.load.worker`, told its job and when to begin by
+JSON lines."""
+
+from __future__ import annotations
+
+import gc
+import resource
+import signal
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+import trio
+from loguru import logger
+
+from ..emulator.lines import objects, say, standard_input
+from ..forms.record import Recorder
+from ..forms.units import UNITS
+from ..net.deadlines import Deadlines
+from .driver import Driver
+from .form import Job
+from .plan import draw_plan, recorded_plan
+
+TELL_EVERY = 1.0
+
+
+async def serve() -> None:
+    """Until the schedule is over and the last operation has ended."""
+    told = objects(standard_input())
+    job = msgspec.convert(
+        await anext(told), Job, dec_hook=lambda kind, value: kind(value) if kind in UNITS else value
+    )
+    plan = recorded_plan([Path(path) for path in job.replay], job.speed) if job.replay else draw_plan(job)
+    record = Recorder(job.record)
+    deadlines = Deadlines(time.monotonic)
+    async with trio.open_nursery() as nursery:
+        driver = Driver(job, plan, deadlines, nursery, record.row)
+        nursery.start_soon(deadlines.run)
+        say({"event": "ready", "planned": len(plan)})
+        zero = (await anext(told))["zero"]
+        nursery.start_soon(watch, told, nursery.cancel_scope)
+        for number in range(job.load.idle // job.load.workers):
+            nursery.start_soon(driver.stand_idle, number % len(job.targets))
+        nursery.start_soon(tell, driver)
+        await driver.run(zero)
+        record.close()
+        used = resource.getrusage(resource.RUSAGE_SELF)
+        say({"event": "done", "outcomes": driver.outcomes, "cpu": used.ru_utime + used.ru_stime})
+        nursery.cancel_scope.cancel()
+
+
+async def watch(told: object, scope: trio.CancelScope) -> None:
+    """The process that started us ends us by the end of our input."""
+    async for _ in told:
+        pass
+    scope.cancel()
+
+
+async def tell(driver: Driver) -> None:
+    while True:
+        await trio.sleep(TELL_EVERY)
+        say({"event": "second", "outcomes": driver.outcomes, "open": len(driver.open)})
+
+
+def main() -> int:
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    logger.remove()
+    logger.add(sys.stderr, level="WARNING", diagnose=False)
+    gc.freeze()
+    gc.set_threshold(50_000, 20, 100)
+    trio.run(serve)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/gaugehinge/net/service.py
+++ b/gaugehinge/net/service.py
@@ -4,7 +4,7 @@
 
 import signal
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable
 from dataclasses import replace
 
 import trio
@@ -12,7 +12,7 @@
 
 from ..charter import BadCharter
 from ..terms import Presence
-from .berth import Berth, lasting, read_berth
+from .berth import Berth, lasting
 from .bulletin import Bulletin, read_bulletin
 from .clients import Clients
 from .deadlines import Clock, Deadlines
@@ -38,9 +38,10 @@
 class Service:
     """One router."""
 
-    def __init__(self, berth: Berth, environment: Mapping[str, str]) -> None:
+    def __init__(self, berth: Berth, reread: Callable[[], Berth]) -> None:
+        """`reread` brings the configuration as it is now, or raises BadCharter."""
         self.berth = berth
-        self.environment = environment  # where the configuration is read again
+        self.reread = reread
         self.course = Course()
         self.clock = Clock()
         self.deadlines = Deadlines(self.clock)
@@ -97,7 +98,7 @@
         """Take over from the configuration what can change in service; a bad one changes nothing."""
         old = self.berth
         try:
-            new = read_berth(self.environment)
+            new = self.reread()
         except BadCharter as bad:
             logger.warning("configuration not taken: {}", bad)
             return
--- /dev/null
+++ b/gaugehinge/rehearsal/send.py
@@ -0,0 +1,50 @@
+"""A script's load alone, at routers that serve already."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+import trio
+
+from ..forms import toml
+from ..load.crew import Crew
+from ..load.form import Job
+from .script import Script
+
+
+async def send(
+    script: Script,
+    folder: Path,
+    targets: tuple[tuple[str, int], ...],
+    replay: tuple[str, ...],
+    speed: float,
+    tell: Callable[[str], None],
+) -> dict[str, int]:
+    """Send it all; tries by outcome. Raises ChildFailed."""
+    folder.mkdir(parents=True, exist_ok=True)
+    toml.write(folder / "script.toml", script)
+    job = Job(
+        script.load,
+        script.tenants,
+        script.traffic,
+        script.surges,
+        float(script.lasts),
+        script.seed,
+        targets,
+        True,
+        0,
+        "",
+        replay,
+        speed,
+    )
+    crew = Crew(job, folder)
+    try:
+        await crew.start()
+        await crew.begin()
+        tell(f"load begins: {crew.planned} operations in {float(script.lasts) / speed:g} s")
+        await crew.wait()
+    finally:
+        with trio.CancelScope(shield=True):
+            await crew.end()
+    return crew.outcomes
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -5,6 +5,7 @@
 import socket
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
+from functools import partial
 
 import trio
 import trio.testing
@@ -278,7 +279,7 @@
         path = tmp_path / "config.json"
         path.write_text(json.dumps(config))
         environment = {"LB_CONFIG": str(path)}
-        service = Service(read_berth(environment), environment)
+        service = Service(read_berth(environment), partial(read_berth, environment))
         made = Fleet(service, caches, origin, port, targets, trio.CancelScope(), trio.Event(), path)
         nursery.start_soon(_run, made)
         await trio.testing.wait_all_tasks_blocked()
