--- a/gaugehinge/emulator/form.py
+++ b/gaugehinge/emulator/form.py
@@ -8,7 +8,7 @@
 from msgspec import Meta
 
 from ..forms.toml import BadField, above, unique
-from ..forms.units import Rate, Seconds, Size
+from ..forms.units import Rate, Seconds, Size, default
 from ..installation.form import Rules, TrafficEntry
 
 MOST_SERVERS = 2000  # each takes a listener a router
@@ -17,12 +17,14 @@
 class Traffic(TrafficEntry, frozen=True, forbid_unknown_fields=True):
     """A traffic type, label `c`, and what its operations cost."""
 
-    service: Annotated[Seconds, Meta(description="mean work at a warm cache server")] = Seconds(0.004)
-    origin: Annotated[Seconds, Meta(description="mean work at the origin")] = Seconds(0.04)
+    service: Annotated[Seconds, Meta(description="mean work at a warm cache server")] = default(
+        Seconds(0.004)
+    )
+    origin: Annotated[Seconds, Meta(description="mean work at the origin")] = default(Seconds(0.04))
     spread: Annotated[
         float, Meta(description="of both: sigma of a lognormal draw; 0: always the mean", ge=0, le=3)
     ] = 0.3
-    size: Annotated[Size, Meta(description="bytes of a value")] = Size(1024)
+    size: Annotated[Size, Meta(description="bytes of a value")] = default(Size(1024))
     write: Annotated[bool, Meta(description="it changes its key; needed true unless idempotent")] = False
 
     def __post_init__(self) -> None:
@@ -48,29 +50,28 @@
     cores: Annotated[int, Meta(description="operations worked on at a time", ge=1, le=1024)] = 4
     speed: Annotated[float, Meta(description="against the stated service times", gt=0, le=1000)] = 1.0
     queue: Annotated[int, Meta(description="operations that wait at most; then `-BUSY`", ge=0)] = 64
-    store: Annotated[Size, Meta(description="values held; the longest unused one goes first")] = Size(
-        16 << 20
+    store: Annotated[Size, Meta(description="values held; the longest unused one goes first")] = default(
+        Size(16 << 20)
     )
     filled: Annotated[
         float,
         Meta(
             description=(
-                "part of all keys that a server holds at "
-                "its first start, as if it had served for long"
+                "part of all keys that a server holds at its first start, as if it had served for long"
             ),
             ge=0,
             le=1,
         ),
     ] = 0.95
     connections: Annotated[int, Meta(description="held at most; then `-BUSY` and the end", ge=1)] = 256
-    idle_close: Annotated[Seconds, Meta(description="a connection idle for so long is closed")] = Seconds(
-        10.0
+    idle_close: Annotated[Seconds, Meta(description="a connection idle for so long is closed")] = default(
+        Seconds(10.0)
     )
     connect_work: Annotated[
         Seconds, Meta(description="work that the first operation of a connection costs more")
-    ] = Seconds(0.001)
+    ] = default(Seconds(0.001))
     down_time: Annotated[Seconds, Meta(description="a server that fell over is back after so long, cold")] = (
-        Seconds(5.0)
+        default(Seconds(5.0))
     )
     reports: Annotated[bool, Meta(description="answers hold load reports")] = True
 
@@ -84,16 +85,20 @@
     overrun_multiple: Annotated[
         float, Meta(description="sent more than this many times what it can do,", gt=1)
     ] = 2.0
-    overrun_time: Annotated[Seconds, Meta(description="for so long, it stops")] = Seconds(2.0)
-    stop_time: Annotated[Seconds, Meta(description="for this long")] = Seconds(3.0)
+    overrun_time: Annotated[Seconds, Meta(description="for so long, it stops")] = default(Seconds(2.0))
+    stop_time: Annotated[Seconds, Meta(description="for this long")] = default(Seconds(3.0))
 
 
 class DiscoveryForm(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Discovery."""
 
-    lateness: Annotated[Seconds, Meta(description="until a change stands in its list")] = Seconds(0.1)
-    capacity: Annotated[Rate, Meta(description="calls a second; they are worked through in turn")] = Rate(500)
-    longest_wait: Annotated[Seconds, Meta(description="of a watch")] = Seconds(60.0)
+    lateness: Annotated[Seconds, Meta(description="until a change stands in its list")] = default(
+        Seconds(0.1)
+    )
+    capacity: Annotated[Rate, Meta(description="calls a second; they are worked through in turn")] = default(
+        Rate(500)
+    )
+    longest_wait: Annotated[Seconds, Meta(description="of a watch")] = default(Seconds(60.0))
 
     def __post_init__(self) -> None:
         above("capacity", self.capacity)
@@ -103,9 +108,11 @@
     """Deals the clients' connections to the routers."""
 
     used: Annotated[bool, Meta(description="false: clients reach the routers directly")] = True
-    check_every: Annotated[Seconds, Meta(description="how often each router is asked PING")] = Seconds(0.5)
+    check_every: Annotated[Seconds, Meta(description="how often each router is asked PING")] = default(
+        Seconds(0.5)
+    )
     notice: Annotated[Seconds, Meta(description="a router silent for so long gets no new connections")] = (
-        Seconds(2.0)
+        default(Seconds(2.0))
     )
 
     def __post_init__(self) -> None:
@@ -115,10 +122,10 @@
 class Emulator(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The systems round the routers."""
 
-    caches: Annotated[tuple[Caches, ...], Meta(min_length=1, max_length=200)] = (Caches(),)
-    origin: OriginForm = OriginForm()
-    discovery: DiscoveryForm = DiscoveryForm()
-    front: Front = Front()
+    caches: Annotated[tuple[Caches, ...], Meta(min_length=1, max_length=200)] = default((Caches(),))
+    origin: OriginForm = default(OriginForm())
+    discovery: DiscoveryForm = default(DiscoveryForm())
+    front: Front = default(Front())
     processes: Annotated[
         int,
         Meta(
--- a/gaugehinge/forms/reference.py
+++ b/gaugehinge/forms/reference.py
@@ -51,23 +51,18 @@
 
 
 def _default(field: Any) -> str:
-    if field.default is msgspec.NODEFAULT:
-        return "" if field.default_factory is not msgspec.NODEFAULT else "needed"
-    value = field.default
-    if isinstance(value, msgspec.Struct) or value == () or value is None:
+    if field.required:
+        return "needed"
+    value = field.default if field.default is not msgspec.NODEFAULT else field.default_factory()
+    if isinstance(value, msgspec.Struct) or value in ((), {}, None):
         return ""
+    if isinstance(value, tuple):
+        return ", ".join(f"`{each}`" for each in value if not isinstance(each, msgspec.Struct))
     if type(value) in PATTERNS:
-        return _figure(value)
+        return f"`{value.text()}`"
     return f"`{str(value).lower() if isinstance(value, bool) else value}`"
 
 
-def _figure(value: Any) -> str:
-    kind = type(value)
-    if PATTERNS[kind][0] == "a size":
-        return f"`{int(value) >> 20}MiB`"
-    return f"`{float(value):g}{'s' if PATTERNS[kind][0] == 'a time' else '/s'}`"
-
-
 def page(title: str, intro: str, form: type) -> str:
     """A page of Markdown with a table for each struct, in the order in which they are met."""
     lines = [f"# {title}", "", intro, ""]
--- a/gaugehinge/forms/units.py
+++ b/gaugehinge/forms/units.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 import re
-from typing import Any
+from typing import Any, TypeVar
+
+import msgspec
+
+T = TypeVar("T")
 
 TIMES = {"us": 1e-6, "ms": 1e-3, "s": 1.0, "min": 60.0, "h": 3600.0}
 SIZES = {"B": 1, "KiB": 1 << 10, "MiB": 1 << 20, "GiB": 1 << 30}
@@ -28,6 +32,9 @@
         return int(self)
 
     def text(self) -> str:
+        for name in ("GiB", "MiB", "KiB"):
+            if self and self % SIZES[name] == 0:
+                return f"{int(self) // SIZES[name]}{name}"
         return f"{int(self)}B"
 
 
@@ -89,3 +96,8 @@
         raise NotImplementedError(kind)
     what, pattern, example = PATTERNS[kind]
     return {"type": "string", "description": what, "pattern": pattern, "examples": [example]}
+
+
+def default(value: T) -> T:
+    """A field's default that JSON has no word for: the schema leaves it out, the reference page shows it."""
+    return msgspec.field(default_factory=lambda: value)
--- a/gaugehinge/installation/form.py
+++ b/gaugehinge/installation/form.py
@@ -9,7 +9,7 @@
 from msgspec import Meta
 
 from ..forms.toml import BadField, above, unique
-from ..forms.units import Rate, Seconds, Size
+from ..forms.units import Rate, Seconds, Size, default
 
 LEAST_MEMORY = 32 << 20  # under this the interpreter and its buffers do not fit
 LEAST_SOCKETS = 64  # with fewer there is no room for clients beside the legs
@@ -69,22 +69,22 @@
 class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What the router may use."""
 
-    memory: Annotated[Size, Meta(description="memory; buffers and operations in hand follow it")] = Size(
-        192 << 20
+    memory: Annotated[Size, Meta(description="memory; buffers and operations in hand follow it")] = default(
+        Size(192 << 20)
     )
     sockets: Annotated[int, Meta(description="file descriptors", ge=LEAST_SOCKETS, le=1 << 20)] = 1024
     legs: Annotated[int, Meta(description="legs of one operation at most", ge=1, le=100)] = 4
     in_hand: Annotated[int, Meta(description="operations in hand at most", ge=1, le=1 << 20)] = 20_000
     connect_time: Annotated[Seconds, Meta(description="a connection to a server is up by then or never")] = (
-        Seconds(0.25)
+        default(Seconds(0.25))
     )
-    idle_time: Annotated[Seconds, Meta(description="servers close what stood idle for this long")] = Seconds(
-        10.0
+    idle_time: Annotated[Seconds, Meta(description="servers close what stood idle for this long")] = default(
+        Seconds(10.0)
     )
     come_back: Annotated[
         Seconds,
         Meta(description="longest time that a bounced client is told to stay away; `0s`: none is told"),
-    ] = Seconds(2.0)
+    ] = default(Seconds(2.0))
 
     def __post_init__(self) -> None:
         if self.memory < LEAST_MEMORY:
@@ -99,7 +99,7 @@
     cold_from: Annotated[
         float, Meta(description="part of its speed that a cold server starts with", gt=0, le=1)
     ] = 0.3
-    cold_time: Annotated[Seconds, Meta(description="until a cold server is warm")] = Seconds(8.0)
+    cold_time: Annotated[Seconds, Meta(description="until a cold server is warm")] = default(Seconds(8.0))
     fall_multiple: Annotated[
         float,
         Meta(
@@ -108,7 +108,7 @@
             le=100,
         ),
     ] = 2.5
-    fall_time: Annotated[Seconds, Meta(description="after so long of that")] = Seconds(3.0)
+    fall_time: Annotated[Seconds, Meta(description="after so long of that")] = default(Seconds(3.0))
     origin_kind: Annotated[str, Meta(description="the `model` that marks the origin in discovery's list")] = (
         "origin"
     )
@@ -116,7 +116,7 @@
         bool, Meta(description="a miss comes back to the router, which asks the origin itself")
     ] = True
     may_cancel: Annotated[bool, Meta(description="closing a connection gives up the leg on it")] = True
-    tick: Annotated[Seconds, Meta(description="grain of time")] = Seconds(0.005)
+    tick: Annotated[Seconds, Meta(description="grain of time")] = default(Seconds(0.005))
     beyond_share: Annotated[
         float, Meta(description="part of the payoff beyond a tenant's share", ge=0, le=1)
     ] = 1.0
@@ -136,7 +136,7 @@
     share: Annotated[float, Meta(description="its weight against the others", ge=0)] = 1.0
     allowance: Annotated[
         Rate, Meta(description="operations a second over all routers that are inside its share")
-    ] = Rate(0)
+    ] = default(Rate(0))
 
 
 class TrafficEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -148,11 +148,11 @@
         Meta(description="what a repeat does: nothing, nothing while its mark is remembered, harm"),
     ]
     promised_time: Annotated[Seconds, Meta(description="answers after it earn `late_payoff` of the payoff")]
-    abandon_time: Annotated[Seconds, Meta(description="longest wait of a client")] = Seconds(3.0)
+    abandon_time: Annotated[Seconds, Meta(description="longest wait of a client")] = default(Seconds(3.0))
     group: Annotated[
         Literal["all", "zone", "cell"], Meta(description="the servers that drop each other's repeats")
     ] = "cell"
-    memory: Annotated[Seconds, Meta(description="how long marks are remembered")] = Seconds(0)
+    memory: Annotated[Seconds, Meta(description="how long marks are remembered")] = default(Seconds(0))
     payoff: Annotated[float, Meta(description="of one answer in time", ge=0)] = 1.0
     late_payoff: Annotated[float, Meta(description="part of it for a late one", ge=0, le=1)] = 0.0
 
@@ -174,9 +174,9 @@
     name: Annotated[str, Meta(description="in its log", min_length=1, max_length=200)] = "router"
     seed: Annotated[int, Meta(description="of its draws; 0: new with every start", ge=0)] = 0
     tenants: Annotated[tuple[TenantEntry, ...], Meta(max_length=4096)] = ()
-    tier: Tier = Tier()
-    limits: Limits = Limits()
-    rules: Rules = Rules()
+    tier: Tier = default(Tier())
+    limits: Limits = default(Limits())
+    rules: Rules = default(Rules())
 
     def __post_init__(self) -> None:
         unique("traffic", [entry.name for entry in self.traffic])
--- a/gaugehinge/load/form.py
+++ b/gaugehinge/load/form.py
@@ -9,14 +9,14 @@
 
 from ..emulator.form import Traffic
 from ..forms.toml import BadField
-from ..forms.units import Rate, Seconds
+from ..forms.units import Rate, Seconds, default
 from ..installation.form import TenantEntry
 
 
 class Sender(TenantEntry, frozen=True, forbid_unknown_fields=True):
     """A tenant, label `t`, and what it sends."""
 
-    rate: Annotated[Rate, Meta(description="operations a second, first tries")] = Rate(50)
+    rate: Annotated[Rate, Meta(description="operations a second, first tries")] = default(Rate(50))
     mix: Annotated[
         dict[str, float], Meta(description="weights of its traffic types; without: `load.mix`")
     ] = {}
@@ -25,8 +25,8 @@
 class Hot(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Keys that are asked for far more than the others for a time."""
 
-    start: Annotated[Seconds, Meta(description="from then on")] = Seconds(0)
-    lasts: Annotated[Seconds, Meta(description="for so long")] = Seconds(3600)
+    start: Annotated[Seconds, Meta(description="from then on")] = default(Seconds(0))
+    lasts: Annotated[Seconds, Meta(description="for so long")] = default(Seconds(3600))
     keys: Annotated[int, Meta(description="how many", ge=1)] = 1
     part: Annotated[float, Meta(description="of all operations that go to them", ge=0, le=1)] = 0.3
 
@@ -37,7 +37,7 @@
     most: Annotated[int, Meta(description="repeats of one operation; 0: none", ge=0, le=20)] = 2
     wait: Annotated[
         Seconds, Meta(description="before the first one, doubled with each, plus half of it by chance")
-    ] = Seconds(0.3)
+    ] = default(Seconds(0.3))
     heed: Annotated[bool, Meta(description="stay away for as long as a bounce tells")] = True
     mark: Annotated[bool, Meta(description="repeats carry `r=1`")] = True
 
@@ -60,14 +60,16 @@
         dict[str, float], Meta(description="weights of the traffic types; without: all alike")
     ] = {}
     hot: tuple[Hot, ...] = ()
-    repeats: Repeats = Repeats()
+    repeats: Repeats = default(Repeats())
     wait: Annotated[
         float, Meta(description="part of the abandon time that clients wait: label `d`", gt=0, le=1)
     ] = 1.0
     hang_up: Annotated[
         float, Meta(description="part of operations whose client leaves early", ge=0, le=1)
     ] = 0.0
-    hang_up_after: Annotated[Seconds, Meta(description="at a time by chance up to this")] = Seconds(0.2)
+    hang_up_after: Annotated[Seconds, Meta(description="at a time by chance up to this")] = default(
+        Seconds(0.2)
+    )
     fresh: Annotated[
         float, Meta(description="part of operations on a new connection that ends with them", ge=0, le=1)
     ] = 0.0
--- a/gaugehinge/rehearsal/faulty.py
+++ b/gaugehinge/rehearsal/faulty.py
@@ -1,9 +1,9 @@
 """Stand-in routers that each break one rule, so that the referee itself is tried.
 
-`python -m gaugehinge.rehearsal.faulty INSTALLATION.toml MODE`. It routes by plain hashing, one leg, no repeats,
-and does the wrong thing with every tenth operation: `double` answers twice, `late` after the abandon time, `mute`
-never, `twice` runs a write twice, `drains` goes on with servers that drain, `pushes` sends all to the server that
-started last.
+`python -m gaugehinge.rehearsal.faulty INSTALLATION.toml MODE`. It routes by plain hashing, one leg, no
+repeats, and does the wrong thing with every tenth operation: `double` answers twice, `late` after the abandon
+time, `mute` never, `twice` runs a write twice, `drains` goes on with servers that drain, `pushes` sends all
+to the server that started last.
 """
 
 from __future__ import annotations
--- a/gaugehinge/rehearsal/script.py
+++ b/gaugehinge/rehearsal/script.py
@@ -13,7 +13,7 @@
 from ..emulator.form import Emulator, Traffic, servers
 from ..forms import toml
 from ..forms.toml import BadField, above, unique
-from ..forms.units import Seconds
+from ..forms.units import Seconds, default
 from ..installation.form import Limits, Rules
 from ..load.form import Load, Sender, Surge, check_mixes
 
@@ -58,14 +58,14 @@
     """The routers that are rehearsed."""
 
     count: Annotated[int, Meta(ge=1, le=64)] = 1
-    limits: Limits = Limits()
+    limits: Limits = default(Limits())
     faulty: Annotated[
         Literal["", "double", "late", "mute", "twice", "drains", "pushes"],
         Meta(description="a stand-in that breaks a rule, in place of the router: to try the referee"),
     ] = ""
     restart_after: Annotated[
         Seconds, Meta(description="a router told to end, or killed, is started again after so long")
-    ] = Seconds(1.0)
+    ] = default(Seconds(1.0))
 
 
 class Step(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -96,7 +96,7 @@
     ] = ""
     lasts: Annotated[
         Seconds, Meta(description="of a fault or surge; of a restart, deploy: how long each is away")
-    ] = Seconds(2.0)
+    ] = default(Seconds(2.0))
     part: Annotated[float, Meta(description="of the commands that meet the fault", gt=0, le=1)] = 1.0
     factor: Annotated[
         float, Meta(description="how many times slower, or more; of `late`: seconds", gt=0, le=10_000)
@@ -107,11 +107,13 @@
     batch: Annotated[int, Meta(description="of a deploy: servers at a time", ge=1)] = 1
     every: Annotated[
         Seconds, Meta(description="of a deploy or chaos: from one batch or fault to the next")
-    ] = Seconds(1.0)
+    ] = default(Seconds(1.0))
     drain: Annotated[Seconds, Meta(description="of a deploy: from the word to the end of a server")] = (
-        Seconds(0.5)
+        default(Seconds(0.5))
+    )
+    spread: Annotated[Seconds, Meta(description="later by a time up to this, drawn by the seed")] = default(
+        Seconds(0)
     )
-    spread: Annotated[Seconds, Meta(description="later by a time up to this, drawn by the seed")] = Seconds(0)
     kinds: Annotated[tuple[str, ...], Meta(description="of chaos: faults to draw from")] = (
         "slow",
         "errors",
@@ -180,16 +182,16 @@
 
     traffic: Annotated[tuple[Traffic, ...], Meta(min_length=1, max_length=64)]
     tenants: Annotated[tuple[Sender, ...], Meta(min_length=1, max_length=1000)]
-    lasts: Annotated[Seconds, Meta(description="how long the load goes on")] = Seconds(30.0)
+    lasts: Annotated[Seconds, Meta(description="how long the load goes on")] = default(Seconds(30.0))
     seed: Annotated[int, Meta(description="of all that is drawn", ge=0, lt=1 << 32)] = 1
     title: str = ""
-    rules: Rules = Rules()
+    rules: Rules = default(Rules())
     drain_grace: Annotated[
         Seconds, Meta(description="a leg may begin so long after its router was told of the drain")
-    ] = Seconds(0.25)
-    emulator: Emulator = Emulator()
-    routers: Routers = Routers()
-    load: Load = Load()
+    ] = default(Seconds(0.25))
+    emulator: Emulator = default(Emulator())
+    routers: Routers = default(Routers())
+    load: Load = default(Load())
     step: tuple[Step, ...] = ()
     expect: Annotated[
         tuple[str, ...],
