--- a/gaugehinge/load/driver.py
+++ b/gaugehinge/load/driver.py
@@ -1,10 +1,8 @@
 """Open-loop clients: each operation goes out at its time, whatever became of those before it.
 
-Its row in the record, behind `op`: number, first try's number, try, tenant, traffic type, key,
-write, planned, sent,
-ended (seconds from the start of the run), outcome, come-back time, wait, mark, own port, router,
-lateness, fresh,
-hang. `second`: bytes that no operation waited for.
+Its row in the record, behind `op`: number, first try's number, try, tenant, traffic type, key, write,
+planned, sent, ended (seconds from the start of the run), outcome, come-back time, wait, mark, own port,
+router, lateness, fresh, hang, resent. `second`: bytes that no operation waited for.
 """
 
 from __future__ import annotations
@@ -27,6 +25,7 @@
 LATE_LOOK = 0.3  # an answer after the abandon time is still looked for, so that it is seen how late it came
 CONNECT_TIME = 1.0
 IDLE_KEEP = 1.5  # a connection idle for longer is not used again: the router ends it
+CROSSING = 0.02  # an end that crossed an operation is seen so soon; later, a router may have died with it
 IDLE_AGAIN = 1.0  # until an idle connection that was closed is opened again
 MOST_DUE = 200  # operations sent in one go, before answers are read again
 PING = b"*1\r\n$4\r\nPING\r\n"
@@ -206,7 +205,8 @@
             self.nursery.start_soon(self._push, conn, data[sent:])
 
     async def _broken(self, conn: Conn) -> None:
-        self._ended(conn)
+        """Nothing of it could be written: the other side had ended the connection before."""
+        self._ended(conn, clean=True)
 
     async def _push(self, conn: Conn, rest: bytes) -> None:
         try:
@@ -254,6 +254,7 @@
             one.lateness,
             one.fresh,
             one.hang,
+            one.resent,
         )
         self._repeat(one, outcome, come_back, now)
 
@@ -295,7 +296,7 @@
 
     async def _run_conn(self, conn: Conn) -> None:
         """A connection's task: up, then read until it ends."""
-        up = False
+        up = clean = False
         try:
             with trio.move_on_after(CONNECT_TIME):
                 await connect(conn.raw, self.job.targets[conn.target])
@@ -306,6 +307,7 @@
                     self._write(conn, conn.current)
                 while not conn.closed and (data := await receive(conn.raw)):
                     self._incoming(conn, data)
+                clean = True
         except (OSError, trio.ClosedResourceError):
             pass
         except Malformed:
@@ -315,9 +317,9 @@
         except Exception:
             logger.exception("a client's connection failed")
         finally:
-            self._ended(conn, up)
+            self._ended(conn, up, clean)
 
-    def _ended(self, conn: Conn, up: bool = True) -> None:
+    def _ended(self, conn: Conn, up: bool = True, clean: bool = False) -> None:
         """The connection is over; so is what waits on it, but for what the router cannot have read."""
         if conn in self.idle:
             self.idle.remove(conn)
@@ -325,7 +327,8 @@
         one, conn.current = conn.current, None
         if one is None or one not in self.open:
             return
-        if up and conn.used > 1 and not one.resent and not len(conn.parser):
+        crossed = up and clean and conn.used > 1 and not one.resent and not len(conn.parser)
+        if crossed and self.clock() - one.sent < CROSSING:
             # The router may end a connection between two operations: one that crossed this goes again, once.
             one.resent, one.conn = True, None
             self._send(one)
--- a/gaugehinge/rehearsal/routers.py
+++ b/gaugehinge/rehearsal/routers.py
@@ -78,6 +78,8 @@
         with open(log, "wb") as out:
             self.process = subprocess.Popen([sys.executable, "-m", *words], stdout=out, stderr=out,
                                             stdin=subprocess.DEVNULL)
+        if self.script.routers.cpus:
+            os.sched_setaffinity(self.process.pid, self.script.routers.cpus)
         self.note("router", self.number, "started", time.monotonic())
 
     async def ready(self) -> None:
