Clients send once more what crossed the end of a connection, and connections may stand silent first

Cause: a door at its limit ends used connections after 50 ms of quiet; through a front that is 100 ms behind, the end reaches the client after it wrote its next operation, which the router never read.

Change: such an operation goes again once, on a new connection; the referee breaks the rule where a leg of it was seen before, since then the router had taken it.

--- a/gaugehinge/load/driver.py
+++ b/gaugehinge/load/driver.py
@@ -25,7 +25,6 @@
 LATE_LOOK = 0.3  # an answer after the abandon time is still looked for, so that it is seen how late it came
 CONNECT_TIME = 1.0
 IDLE_KEEP = 1.5  # a connection idle for longer is not used again: the router ends it
-CROSSING = 0.02  # an end that crossed an operation is seen so soon; later, a router may have died with it
 IDLE_AGAIN = 1.0  # until an idle connection that was closed is opened again
 MOST_DUE = 200  # operations sent in one go, before answers are read again
 PING = b"*1\r\n$4\r\nPING\r\n"
@@ -56,8 +55,9 @@
     planned: float
     sent: float = 0.0
     mark: str = ""
+    place: int = -1  # in the plan; of a repeat: none
     lateness: float = 0.0
-    resent: bool = False
+    resent: float = NEVER  # when it was sent once more, after the end of its connection
     conn: Conn | None = None
     due: Due | None = None
 
@@ -97,6 +97,7 @@
         self.idle: list[Conn] = []  # oldest first
         self.connections = 0
         self.most = max(job.load.connections // job.load.workers, 1)
+        self.silent: dict[int, Conn] = {}  # opened ahead, by place in the plan, until their operation comes
         self.open: set[Try] = set()
         self.repeats_due = 0
         self.count = 0
@@ -120,6 +121,8 @@
         at, tenant, kind, key = plan.at.tolist(), plan.tenant.tolist(), plan.kind.tolist(), plan.key.tolist()
         fresh, hang = plan.fresh.tolist(), plan.hang.tolist()
         sent_in_a_row = 0
+        if job.load.ahead:
+            self.nursery.start_soon(self._open_ahead, [(at[i], i) for i in mine if fresh[i]])
         for i in mine:
             wait = zero + at[i] - self.clock()
             if wait > 0:
@@ -131,12 +134,20 @@
             number = self._number()
             entry = job.traffic[kind[i]]
             mark = f"m{number:x}" if entry.effect == "deduplicated" else ""
-            self._begin(
-                Try(number, number, 0, tenant[i], kind[i], key[i], fresh[i], hang[i], at[i], mark=mark)
-            )
+            one = Try(number, number, 0, tenant[i], kind[i], key[i], fresh[i], hang[i], at[i], mark=mark)
+            one.place = i
+            self._begin(one)
         while self.open or self.repeats_due:
             await trio.sleep(0.05)
 
+    async def _open_ahead(self, due: list[tuple[float, int]]) -> None:
+        """Open the connections that stand silent before their operation comes."""
+        ahead = float(self.job.load.ahead)
+        for at, place in due:
+            await trio.sleep(max(self.zero + at - ahead - self.clock(), 0.0))
+            if self.connections < self.most:
+                self.silent[place] = self._open()
+
     def _number(self) -> int:
         self._numbers += 1
         return self._numbers
@@ -151,18 +162,30 @@
         self._send(one)
 
     def _send(self, one: Try) -> None:
-        conn = None if one.fresh else self._warm()
+        again = one.resent != NEVER  # on a new connection, since any other may have ended as well
+        conn = None if one.fresh or again else self._warm()
+        stood = self.silent.pop(one.place, None)
+        if stood is not None and not again:
+            if stood.port and not stood.closed and silent(stood.raw):
+                conn = stood
+            else:
+                self._close(stood)
         if conn is not None:
             self._write(conn, one)
         elif self.connections >= self.most:
             self._end(one, UNSENT)
         else:
-            self._turn += 1
-            raw = tcp(self.job.targets[self._turn % len(self.job.targets)])
-            conn = Conn(raw, self._turn % len(self.job.targets))
-            self.connections += 1
+            conn = self._open()
             conn.current, one.conn = one, conn
-            self.nursery.start_soon(self._run_conn, conn)
+
+    def _open(self) -> Conn:
+        """A new connection; it writes what is current once it is up."""
+        self._turn += 1
+        target = self._turn % len(self.job.targets)
+        conn = Conn(tcp(self.job.targets[target]), target)
+        self.connections += 1
+        self.nursery.start_soon(self._run_conn, conn)
+        return conn
 
     def _warm(self) -> Conn | None:
         oldest = self.clock() - IDLE_KEEP
@@ -191,7 +214,7 @@
         )
         conn.current, one.conn = one, conn
         conn.used += 1
-        if not one.resent:
+        if one.resent == NEVER:
             one.sent = self.clock()
         if one.due is None:
             hang = one.hang if one.hang != NEVER else wait / 1000.0 + LATE_LOOK
@@ -327,10 +350,10 @@
         one, conn.current = conn.current, None
         if one is None or one not in self.open:
             return
-        crossed = up and clean and conn.used > 1 and not one.resent and not len(conn.parser)
-        if crossed and self.clock() - one.sent < CROSSING:
+        crossed = up and clean and one.resent == NEVER and not len(conn.parser)
+        if crossed:
             # The router may end a connection between two operations: one that crossed this goes again, once.
-            one.resent, one.conn = True, None
+            one.resent, one.conn = self.clock() - self.zero, None
             self._send(one)
             return
         self._end(one, LOST if up else UNREACHED)
--- a/gaugehinge/load/form.py
+++ b/gaugehinge/load/form.py
@@ -73,6 +73,9 @@
     fresh: Annotated[
         float, Meta(description="part of operations on a new connection that ends with them", ge=0, le=1)
     ] = 0.0
+    ahead: Annotated[
+        Seconds, Meta(description="such connections stand silent for so long before their operation is sent")
+    ] = default(Seconds(0))
     idle: Annotated[
         int, Meta(description="connections that stand idle beside, opened again when closed", ge=0, le=50_000)
     ] = 0
--- a/gaugehinge/load/referee.py
+++ b/gaugehinge/load/referee.py
@@ -60,7 +60,7 @@
     lateness: float
     fresh: bool
     hang: float
-    resent: bool = False  # by its client, after the end of its connection
+    resent: float = -1.0  # when its client sent it once more, after the end of its connection; -1: not
 
 
 class LegSeen(NamedTuple):
@@ -181,6 +181,9 @@
             one = self.ops.get(_number(leg.ident))
             if one is None:
                 continue
+            if 0 <= leg.began < one.resent and not self._killed_within(one):
+                text = f"{_name(one)}: {_leg(leg)}, and the connection ended unanswered"
+                found.append(Break(ANSWER, text, one.resent))
             over = one.sent + one.wait
             if one.outcome in ANSWERED:
                 over = min(over, one.ended)
@@ -209,7 +212,7 @@
             one = self.ops.get(_number(ident))
             name = _name(one) if one else f"operation {ident.decode()}"
             # Sent once more by its client when a killed router's connection ended: the client's doing.
-            by_client = one is not None and one.resent and self._killed_within(one)
+            by_client = one is not None and one.resent >= 0 and self._killed_within(one)
             if len(ran) > 1 and not by_client:
                 legs = ", ".join(_leg(leg) for leg in ran)
                 found.append(Break(TWICE, f"{name}: ran {len(ran)} times: {legs}", ran[-1].ended))
--- a/gaugehinge/rehearsal/routers.py
+++ b/gaugehinge/rehearsal/routers.py
@@ -40,13 +40,13 @@
     """One router through its starts and ends."""
 
     def __init__(
-        self, script: Script, number: int, folder: Path, discovery: tuple[str, int], address: tuple[str, int],
-        note: Callable[..., None],
+        self, script: Script, number: int, folder: Path, discovery: tuple[str, int],
+        addresses: list[tuple[str, int]], note: Callable[..., None],
     ) -> None:
         self.script = script
         self.number = number
         self.folder = folder
-        self.address = address
+        self.address = address = addresses[number]
         self.note = note
         self.file = folder / f"router-{number}.toml"
         self.process: subprocess.Popen[bytes] | None = None
@@ -61,12 +61,19 @@
             name=f"router-{number}",
             seed=script.seed * 1000 + number + 1,
             tenants=tuple(_only(TenantEntry, entry) for entry in script.tenants),
-            tier=Tier(me=number, routers=script.routers.count),
+            tier=self._tier(addresses),
             limits=script.routers.limits,
             rules=script.rules,
         )
         toml.write(self.file, installation)
 
+    def _tier(self, addresses: list[tuple[str, int]]) -> Tier:
+        """Its place among the routers; their datagrams use the same ports as their clients."""
+        peers = tuple(f"{host}:{port}" for host, port in addresses)
+        if not self.script.routers.messages or len(peers) < 2:
+            return Tier(me=self.number, routers=len(peers))
+        return Tier(me=self.number, routers=len(peers), listen=peers[self.number], peers=peers)
+
     def start(self) -> None:
         """Start the process; its log goes to a file of its own."""
         self.starts += 1
--- a/gaugehinge/rehearsal/script.py
+++ b/gaugehinge/rehearsal/script.py
@@ -64,6 +64,7 @@
         Meta(description="a stand-in that breaks a rule, in place of the router: to try the referee"),
     ] = ""
     cpus: Annotated[tuple[int, ...], Meta(description="cores that they may use; without: all")] = ()
+    messages: Annotated[bool, Meta(description="they tell one another their rates by UDP")] = True
     restart_after: Annotated[
         Seconds, Meta(description="a router told to end, or killed, is started again after so long")
     ] = default(Seconds(1.0))
