--- a/gaugehinge/cli/serve_command.py
+++ b/gaugehinge/cli/serve_command.py
@@ -2,6 +2,7 @@
 
 import signal
 import sys
+from functools import partial
 
 import click
 
@@ -19,17 +20,26 @@
     from ..charter import BadCharter
     from ..forms.toml import BadFile
     from ..installation.build import berth_of, read_installation
+    from ..installation.form import Installation
     from ..net.berth import Berth
     from ..net.run import run
 
-    def reread() -> Berth:
+    def read() -> Installation:
         try:
-            return berth_of(read_installation(file))
+            return read_installation(file)
         except BadFile as bad:
             raise BadCharter(str(bad)) from None
 
+    def reread() -> Berth:
+        return berth_of(read())
+
     try:
-        berth = reread()
+        told = read()
     except BadCharter as bad:
         raise BadInput(str(bad)) from None
-    sys.exit(run(berth, reread))
+    new_door = None
+    if told.door.on:
+        from ..door.door import Door
+
+        new_door = partial(Door, label=told.door.client)
+    sys.exit(run(berth_of(told), reread, new_door))
--- /dev/null
+++ b/gaugehinge/door/door.py
@@ -0,0 +1,312 @@
+"""Between reading a command and `Dispatch.submit`: carries out what the door's modules decide.
+
+An operation is passed on at once while there is room; else it waits for its fair turn, or is bounced at
+once where its time does not cover its turn. Nothing that waits here has been sent anywhere: a bounce from
+here never ran.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+
+from loguru import logger
+
+from ..charter import Charter
+from ..net.dispatch import BUSY, Dispatch, busy
+from ..net.pool import Cargo
+from ..terms import Operation
+from .comeback import ComeBack
+from .costs import Costs
+from .fairness import FairQueue, Waiting
+from .heavy import Heavy
+from .limiter import Limiter
+from .places import H, Pace, yielding
+
+SAMPLE_EVERY = 0.05
+TELL_EVERY = 10.0  # figures by tenant, while anything was turned away
+HEAVY_SIZE = 64  # clients of which the weight is known
+HEAVY_HALVE = 5.0
+LEARN = 0.1  # of the smoothed answer time and its deviation, each operation
+DEVIATIONS = 2.0  # over the mean that an answer is expected to take at most
+FIRST_PART = 0.25  # of the promised time: what an answer is expected to take before any was seen
+WAITING_MEMORY = 4096  # bytes that one waiting operation takes beside its value
+WAITING_PART = 0.05  # of the memory that waiting operations may take
+WAITING_MOST = 4096
+SPARE = 0.005  # kept before the abandon time for the answer's own way
+QUICK = 0.05  # an operation bounced by the decisions used this part of what it counted
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    """One operation at the door, until its answer."""
+
+    operation: Operation
+    cargo: Cargo
+    answer: Callable[[bytes], None]
+    size: int
+    bucket: int
+    cost: float
+    waiting: Waiting | None = None  # while it waits
+    handle: int = 0  # at the dispatch, once it is passed on
+    passed: float = 0.0  # when
+    gone: bool = False  # its client left
+
+
+class Door:
+    """Operations that wait, and how many are in hand."""
+
+    def __init__(self, charter: Charter, dispatch: Dispatch, memory: int, label: str = "") -> None:
+        """`label` names a client; without it each connection is one."""
+        deployment = charter.deployment
+        self.label = b"%b=" % label.encode() if label else b""
+        self.charter = charter
+        self.dispatch = dispatch
+        self.deadlines = dispatch.deadlines
+        self.clock = dispatch.clock
+        now = self.clock()
+        tenants = len(deployment.tenants)
+        most = max(min(int(memory * WAITING_PART) // WAITING_MEMORY, WAITING_MOST), 16)
+        self.queue = FairQueue([t.share for t in deployment.tenants], most, deployment.seed, now)
+        self.limiter = Limiter(charter.most_open, now)
+        self.come_back = ComeBack(deployment.longest_come_back, tenants, deployment.seed)
+        self.costs = Costs(len(deployment.traffic_types))
+        self.heavy = Heavy(HEAVY_SIZE, HEAVY_HALVE, now)
+        self.pace = Pace(now)
+        self.in_hand = 0
+        self.lateness = 0.0  # answer times as a part of the promised, smoothed
+        rows = deployment.traffic_types
+        self.took = [FIRST_PART * row.promised for row in rows]  # in hand, smoothed
+        self.strays = [0.0] * len(rows)  # and how far times lie from that
+        self._pulling = False
+        self._looking = False
+        self._cpu = time.process_time()
+        self._next_tell = now + TELL_EVERY
+        self._names = [*charter.tenants, "none"]
+        self.deadlines.at(now + SAMPLE_EVERY, self._sample)
+
+    # -- in
+
+    def submit(
+        self, operation: Operation, cargo: Cargo, answer: Callable[[bytes], None], client: bytes, size: int
+    ) -> Entry:
+        """Take an operation; `answer` gets its one final answer, perhaps at once."""
+        now = self.clock()
+        tenant = operation.tenant
+        row = operation.traffic.row
+        client = self._client(cargo) or client
+        bucket = self.queue.bucket(tenant, client, now)
+        cost = self.costs.cost(row, size)
+        entry = Entry(operation, cargo, answer, size, bucket, cost)
+        if not self.queue.live and self.in_hand < self.limiter.limit:
+            if operation.repeat is False:
+                self.come_back.allow(tenant, False)
+            self.queue.pass_by(tenant, bucket, cost)
+            self._pass_on(entry, now)
+            return entry
+        self.heavy.add(client, cost, now)
+        cause = self._refusal(entry, now)
+        if cause:
+            self._count(tenant, cause)
+            self._turn_away(entry)
+            return entry
+        entry.waiting = Waiting(
+            entry, tenant, bucket, operation.traffic.payoff, cost, now, self._leave_at(operation)
+        )
+        self.queue.put(entry.waiting)
+        self._look_for_leavers()
+        self._pull()
+        return entry
+
+    def _client(self, cargo: Cargo) -> bytes:
+        """The name in the labels, where that tells clients apart; empty where there is none."""
+        if not self.label:
+            return b""
+        for part in cargo.told.split(b","):
+            if part.startswith(self.label):
+                return part
+        return b""
+
+    def _refusal(self, entry: Entry, now: float) -> str:
+        """Why an operation cannot wait; empty where it can."""
+        operation = entry.operation
+        if not self.come_back.allow(operation.tenant, operation.repeat):
+            return "repeats"
+        left = self._leave_at(operation) - now
+        if left <= 0.0 or self.queue.wait_of(operation.tenant) > left:
+            return "late"
+        if self.queue.live < self.queue.most:
+            return ""
+        victim = self.queue.victim(now)
+        if victim is None or (
+            victim.tenant == operation.tenant and victim.payoff >= operation.traffic.payoff
+        ):
+            return "full"
+        self.queue.leave(victim, "full")
+        self._turn_away(victim.thing)
+        return ""
+
+    def _leave_at(self, operation: Operation) -> float:
+        """When the time left does not cover an answer any more."""
+        traffic = operation.traffic
+        row = traffic.row
+        expected = self.took[row] + DEVIATIONS * self.strays[row]
+        end = operation.abandon
+        if not traffic.late_payoff:
+            end = min(end, operation.arrived + traffic.promised)
+        return end - SPARE - min(expected, 0.5 * (end - operation.arrived))
+
+    def client_gone(self, entry: Entry) -> None:
+        """Nobody waits for the answer any more."""
+        entry.gone = True
+        if entry.waiting is not None:
+            self.queue.leave(entry.waiting, "gone")
+            entry.waiting = None
+        elif entry.passed:
+            self.dispatch.client_gone(entry.handle)
+            self._ended(entry, b"", now=self.clock())
+
+    # -- out
+
+    def _pull(self) -> None:
+        """Pass on what has its turn, as far as there is room. What is bounced at once makes room at once."""
+        if self._pulling:
+            return
+        self._pulling = True
+        try:
+            while self.queue.live and self.in_hand < self.limiter.limit:
+                now = self.clock()
+                taken = self.queue.take(now)
+                if taken is None:
+                    return
+                entry = taken.thing
+                entry.waiting = None
+                if taken.leave <= now:
+                    self._count(taken.tenant, "late")
+                    self._turn_away(entry)
+                else:
+                    self._pass_on(entry, now)
+        finally:
+            self._pulling = False
+
+    def _pass_on(self, entry: Entry, now: float) -> None:
+        entry.passed = now
+        self.in_hand += 1
+
+        def answer(reply: bytes) -> None:
+            self._ended(entry, reply, self.clock())
+            entry.answer(reply)
+
+        entry.handle = self.dispatch.submit(entry.operation, entry.cargo, answer)
+
+    def _ended(self, entry: Entry, reply: bytes, now: float) -> None:
+        """An operation is answered, or its client left: there is room for another."""
+        if not entry.passed:
+            return
+        took, entry.passed = now - entry.passed, 0.0
+        self.in_hand -= 1
+        row = entry.operation.traffic.row
+        self.costs.ended(row, entry.size + len(reply))
+        if reply.startswith(BUSY_WORD):
+            self.queue.refund(entry.operation.tenant, entry.bucket, entry.cost * (1.0 - QUICK))
+        elif reply and not reply.startswith(b"-"):
+            self.strays[row] += LEARN * (abs(took - self.took[row]) - self.strays[row])
+            self.took[row] += LEARN * (took - self.took[row])
+            self.lateness += LEARN * (took / entry.operation.traffic.promised - self.lateness)
+        if self.queue.live:
+            self._pull()
+
+    def _turn_away(self, entry: Entry) -> None:
+        """Bounced from here: it never ran."""
+        entry.waiting = None
+        operation = entry.operation
+        wait = self.come_back.time(self.queue.wait_of(operation.tenant), operation.repeat)
+        operation.over = True
+        entry.answer(busy(wait))
+
+    def _count(self, tenant: int, cause: str) -> None:
+        bounced = self.queue.lines[tenant].bounced
+        bounced[cause] = bounced.get(cause, 0) + 1
+
+    def _look_for_leavers(self) -> None:
+        """Turn away those whose time is up, each when it is, by one entry in the heap of deadlines."""
+        due = self.queue.next_due()
+        if due is not None and not self._looking:
+            self._looking = True
+            self.deadlines.at(due, self._leavers)
+
+    def _leavers(self) -> None:
+        self._looking = False
+        for waiting in self.queue.due(self.clock()):
+            self.queue.leave(waiting, "late")
+            self._turn_away(waiting.thing)
+        self._look_for_leavers()
+
+    def forfeit_rest(self) -> None:
+        """The router ends: what waits never ran."""
+        for line in self.queue.lines:
+            for flow in list(line.flows.values()):
+                for waiting in list(flow.entries):
+                    if not waiting.out:
+                        self.queue.leave(waiting, "end")
+                        self._turn_away(waiting.thing)
+
+    # -- measuring
+
+    def _sample(self) -> None:
+        now = self.clock()
+        cpu = time.process_time()
+        self.costs.sample(cpu - self._cpu)
+        self._cpu = cpu
+        self.queue.sample(now)
+        lag = self.deadlines.behind
+        self.limiter.sample(lag, self.in_hand, self.queue.live, self.lateness, now)
+        self.pace.sample(lag)
+        if self.queue.live:
+            self._pull()
+        self._tell(now)
+        self.deadlines.at(now + SAMPLE_EVERY, self._sample)
+
+    def _tell(self, now: float) -> None:
+        for log in (self.limiter.log, self.queue.log):
+            for text in log:
+                logger.info(text)
+            log.clear()
+        if now < self._next_tell:
+            return
+        self._next_tell = now + TELL_EVERY
+        for line, name in zip(self.queue.lines, self._names, strict=True):
+            if line.bounced or line.queued:
+                logger.info(describe(name, line.queued, line.sojourn, line.longest, line.bounced))
+                line.queued, line.sojourn, line.longest = 0, 0.0, 0.0
+                line.bounced.clear()
+
+    # -- connections
+
+    def more(self) -> bool:
+        """Whether one more connection may be accepted now."""
+        return self.pace.accept(self.clock())
+
+    def crowded(self, connections: Iterable[H]) -> list[H]:
+        """Connections in the order in which they should yield their places."""
+        return yielding(connections)
+
+    def full(self, operation: Operation) -> bytes:
+        """What an operation is told that finds no place, or no memory for it."""
+        self._count(operation.tenant, "place")
+        return busy(self.come_back.time(self.queue.wait_of(operation.tenant), operation.repeat))
+
+    def share(self, shares: Sequence[float]) -> None:
+        """The tenants' shares have changed."""
+        self.queue.share(shares)
+
+
+BUSY_WORD = BUSY[:5]
+
+
+def describe(name: str, queued: int, sojourn: float, longest: float, bounced: dict[str, int]) -> str:
+    """One line of figures of a tenant since the last one."""
+    causes = ", ".join(f"{cause} {count}" for cause, count in sorted(bounced.items())) or "none"
+    mean = sojourn / queued if queued else 0.0
+    return f"door tenant {name}: {queued} waited {mean:.3f} s, {longest:.3f} at most; bounced: {causes}"
--- /dev/null
+++ b/gaugehinge/door/heavy.py
@@ -0,0 +1,53 @@
+"""The clients that send most, in a bounded summary: space-saving (Metwally, Agrawal, El Abbadi, 2005).
+
+Any client with more than 1/size of the weight is in the summary; a counted weight is too high by at most
+what the evicted one had.
+"""
+
+from __future__ import annotations
+
+
+class Heavy:
+    """At most `size` names, their weights and by how much each may be too high; halved from time to time."""
+
+    def __init__(self, size: int, halve_every: float, now: float) -> None:
+        self.size = size
+        self.halve_every = halve_every
+        self._next = now + halve_every
+        self._weights: dict[bytes, list[float]] = {}  # weight, error
+        self.total = 0.0
+
+    def __len__(self) -> int:
+        return len(self._weights)
+
+    def add(self, name: bytes, weight: float, now: float) -> None:
+        """Count a weight for a name."""
+        if now >= self._next:
+            self._halve(now)
+        self.total += weight
+        found = self._weights.get(name)
+        if found is not None:
+            found[0] += weight
+            return
+        if len(self._weights) < self.size:
+            self._weights[name] = [weight, 0.0]
+            return
+        least = min(self._weights, key=lambda each: self._weights[each][0])
+        low = self._weights.pop(least)[0]
+        self._weights[name] = [low + weight, low]
+
+    def part(self, name: bytes) -> float:
+        """What part of all weight a name surely has."""
+        found = self._weights.get(name)
+        return max(found[0] - found[1], 0.0) / self.total if found is not None and self.total else 0.0
+
+    def _halve(self, now: float) -> None:
+        """What was long ago counts less and less; what is next to nothing leaves."""
+        self._next = now + self.halve_every
+        self.total /= 2.0
+        for name in list(self._weights):
+            entry = self._weights[name]
+            entry[0] /= 2.0
+            entry[1] /= 2.0
+            if entry[0] < 1e-9:
+                del self._weights[name]
--- a/gaugehinge/emulator/cache.py
+++ b/gaugehinge/emulator/cache.py
@@ -8,7 +8,7 @@
 
 from .faults import Faults, Manner
 from .form import Caches, Traffic
-from .machine import Job, Machine, Strain
+from .machine import Job, Machine, Strain, drawn_work
 from .store import Lru, Marks, Misses, as_if_held
 from .virtual import Schedule
 
@@ -97,11 +97,6 @@
     def pace(self, now: float) -> float:
         return self.form.speed * self.warmth(now) / self.faults.slowness(now)
 
-    def _work(self, mean: float, spread: float) -> float:
-        if spread <= 0.0:
-            return mean
-        return mean * float(self.faults.draw.lognormal(-spread * spread / 2.0, spread))
-
     # -- life
 
     def start(self, cold: bool) -> None:
@@ -161,7 +156,8 @@
             self._end(command, "error", ran, FAILED)
             return
         version = None if command.write else self._lookup(command.key, command.traffic)
-        work = self._work(float(command.traffic.service), command.traffic.spread)
+        kind = command.traffic
+        work = drawn_work(float(kind.service), kind.spread, self.tables.seed, self.uid, command.ident)
         if version is None and not command.write:
             work *= MISS_PART
         if command.fresh:
@@ -195,7 +191,8 @@
         elif version is not None:
             self._end(command, "hit", False, self._value(command, b"hit", version))
         elif self.tables.through is not None:
-            self.tables.through.read(command.key, command.traffic, lambda got: self._fetched(command, got))
+            origin = self.tables.through
+            origin.read(command.key, command.ident, command.traffic, lambda got: self._fetched(command, got))
         else:
             self.tables.misses.add(command.ident, self, self.clock())
             self._end(command, "miss", False, self._reply(command, None, b"miss"))
--- a/gaugehinge/emulator/machine.py
+++ b/gaugehinge/emulator/machine.py
@@ -5,10 +5,27 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import exp
+from statistics import NormalDist
+
+from xxhash import xxh64_intdigest
 
 from .virtual import Schedule
 
 BUCKETS = 20  # of the time over which strain is measured
+NORMAL = NormalDist()
+
+
+def drawn_work(mean: float, spread: float, seed: int, uid: str, ident: bytes) -> float:
+    """Work of one operation at one server: lognormal, by a draw of their own.
+
+    Drawn one after the other, two operations that come in another order would change all work after them,
+    and two runs of one seed would lie further apart.
+    """
+    if spread <= 0.0:
+        return mean
+    part = (xxh64_intdigest(uid.encode() + ident, seed) + 0.5) / 2.0**64
+    return mean * exp(spread * NORMAL.inv_cdf(min(max(part, 1e-12), 1.0 - 1e-12)) - spread * spread / 2.0)
 
 
 @dataclass(slots=True, eq=False)
--- a/gaugehinge/emulator/origin.py
+++ b/gaugehinge/emulator/origin.py
@@ -8,7 +8,7 @@
 from .cache import Act, Command, Tables, note_leg, run_write, value_of
 from .faults import Faults, Manner
 from .form import OriginForm, Traffic
-from .machine import Job, Machine, Strain
+from .machine import Job, Machine, Strain, drawn_work
 from .store import Marks
 from .virtual import Schedule
 
@@ -59,20 +59,21 @@
             ran = command.write and self.faults.draw.random() < 0.5 and self._run(command)[1]
             self._end(command, "error", ran, Act(Manner.WHOLE, http_answer(500, b"failed")))
         elif command.write:
-            command.job = self._submit(command.traffic, lambda: self._written(command))
+            command.job = self._submit(command.traffic, command.ident, lambda: self._written(command))
             if command.job is None:
                 self._turn_away(command)
         else:
-            command.job = self.read(
-                command.key, command.traffic, lambda version: self._read(command, version)
-            )
+            key, ident, traffic = command.key, command.ident, command.traffic
+            command.job = self.read(key, ident, traffic, lambda version: self._read(command, version))
 
-    def read(self, key: bytes, traffic: Traffic, got: Callable[[int | None], None]) -> Job | None:
+    def read(
+        self, key: bytes, ident: bytes, traffic: Traffic, got: Callable[[int | None], None]
+    ) -> Job | None:
         """Read a key's version; None is told where there is no room for it."""
         if self.form.shared and key in self.reading:
             self.reading[key].append(got)
             return None
-        job = self._submit(traffic, lambda: self._have(key, got))
+        job = self._submit(traffic, ident, lambda: self._have(key, got))
         if job is None:
             got(None)
         elif self.form.shared:
@@ -84,10 +85,8 @@
         if not command.ended and command.job is not None and self.machine.drop(command.job):
             self._end(command, "dropped", False)
 
-    def _submit(self, traffic: Traffic, done: Callable[[], None]) -> Job | None:
-        work = float(traffic.origin)
-        if traffic.spread > 0:
-            work *= float(self.faults.draw.lognormal(-(traffic.spread**2) / 2.0, traffic.spread))
+    def _submit(self, traffic: Traffic, ident: bytes, done: Callable[[], None]) -> Job | None:
+        work = drawn_work(float(traffic.origin), traffic.spread, self.tables.seed, UID, ident)
         now = self.clock()
         self.strain.add(work, now)
         if now >= self._next_look:
--- a/gaugehinge/installation/form.py
+++ b/gaugehinge/installation/form.py
@@ -163,6 +163,19 @@
             above("memory", self.memory)
 
 
+class DoorEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The door: fair turns by tenant and client before anything is taken in hand (docs/door.md)."""
+
+    on: Annotated[bool, Meta(description="off: what comes is taken in hand at once, up to fixed limits")] = False
+    client: Annotated[
+        str,
+        Meta(
+            description="the label that names a client; empty: each connection is one",
+            pattern="^[a-z0-9_]{0,32}$",
+        ),
+    ] = ""
+
+
 class Installation(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One router of an installation."""
 
@@ -177,6 +190,7 @@
     tier: Tier = default(Tier())
     limits: Limits = default(Limits())
     rules: Rules = default(Rules())
+    door: DoorEntry = default(DoorEntry())
 
     def __post_init__(self) -> None:
         unique("traffic", [entry.name for entry in self.traffic])
--- a/gaugehinge/load/driver.py
+++ b/gaugehinge/load/driver.py
@@ -26,6 +26,7 @@
 CONNECT_TIME = 1.0
 IDLE_KEEP = 1.5  # a connection idle for longer is not used again: the router ends it
 IDLE_AGAIN = 1.0  # until an idle connection that was closed is opened again
+REPEAT_BITS = 48  # an operation's number is its place in the plan, and above that which try it is
 MOST_DUE = 200  # operations sent in one go, before answers are read again
 PING = b"*1\r\n$4\r\nPING\r\n"
 
@@ -102,7 +103,6 @@
         self.repeats_due = 0
         self.count = 0
         self.outcomes: dict[str, int] = {}
-        self._numbers = job.worker << 40
         self._commands = [self._command_parts(entry) for entry in job.traffic]
         self._turn = job.worker
 
@@ -131,7 +131,7 @@
             elif (sent_in_a_row := sent_in_a_row + 1) >= MOST_DUE:
                 await trio.lowlevel.checkpoint()
                 sent_in_a_row = 0
-            number = self._number()
+            number = i + 1
             entry = job.traffic[kind[i]]
             mark = f"m{number:x}" if entry.effect == "deduplicated" else ""
             one = Try(number, number, 0, tenant[i], kind[i], key[i], fresh[i], hang[i], at[i], mark=mark)
@@ -148,10 +148,6 @@
             if self.connections < self.most:
                 self.silent[place] = self._open()
 
-    def _number(self) -> int:
-        self._numbers += 1
-        return self._numbers
-
     # -- tries
 
     def _begin(self, one: Try) -> None:
@@ -302,7 +298,7 @@
         self.repeats_due -= 1
         self._begin(
             Try(
-                self._number(),
+                one.first | (one.count + 1) << REPEAT_BITS,
                 one.first,
                 one.count + 1,
                 one.tenant,
--- a/gaugehinge/net/clients.py
+++ b/gaugehinge/net/clients.py
@@ -5,9 +5,10 @@
 import re
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from dataclasses import dataclass, field
+from typing import Any, Protocol
 
 import trio
 from loguru import logger
@@ -42,10 +43,36 @@
 IDENT_KEEP = 2.0  # after its answer an id is known for this long, to twice that: a second use may cross it
 PLAIN = re.compile(rb"[!-~]+")  # what may go on in an HTTP header
 
+NEVER_SPOKE = -2  # in place of a tenant
+
 PONG = b"+PONG\r\n"
 OK = b"+OK\r\n"
 
 
+class Door(Protocol):
+    """What may stand between a command and the dispatch: `gaugehinge.door`, where it is switched on."""
+
+    def submit(
+        self, operation: Operation, cargo: Cargo, answer: Callable[[bytes], None], client: bytes, size: int,
+    ) -> Any:
+        """Take an operation of a client; returns what `client_gone` wants."""
+
+    def client_gone(self, handle: Any) -> None:
+        """Nobody waits for the answer any more."""
+
+    def more(self) -> bool:
+        """Whether one more connection may be accepted now."""
+
+    def crowded(self, connections: Iterable[Client]) -> list[Client]:
+        """Connections in the order in which they should yield their places."""
+
+    def full(self, operation: Operation) -> bytes:
+        """What an operation is told that finds no place, or no memory for it."""
+
+    def forfeit_rest(self) -> None:
+        """The router ends: what waits is answered."""
+
+
 class Refused(Exception):
     """A command that cannot be taken, in words for the client. The connection goes on."""
 
@@ -54,7 +81,7 @@
 class Ticket:
     """A command's place in the order of answers."""
 
-    handle: int | None = None  # of its operation, while that is in hand
+    handle: Any = None  # of its operation, while that is in hand
     ident: bytes = b""
     answer: bytes | None = None
     held: int = 0  # bytes that count against the memory
@@ -79,6 +106,9 @@
     quiet_since: float = 0.0
     began: float = 0.0  # when the first byte came of what the parser holds
     crowding: bool = False  # over the limit: what it asks is answered BUSY, and then it is closed
+    name: bytes = b""  # by which a door tells clients apart
+    source: str = ""  # the address it came from
+    tenant: int = NEVER_SPOKE  # of its last operation
 
 
 class Clients:
@@ -86,9 +116,10 @@
 
     def __init__(
         self, charter: Charter, course: Course, dispatch: Dispatch, most_clients: int, memory: int,
-        nursery: trio.Nursery,
+        nursery: trio.Nursery, door: Door | None = None,
     ) -> None:
         self.charter = charter
+        self.door = door
         self.course = course
         self.dispatch = dispatch
         self.clock = dispatch.clock
@@ -129,27 +160,30 @@
     def accept_rest(self, listening: socket.socket) -> bool:
         """Take what has come; False where a limit is in the way."""
         while len(self.connections) < self.most + self.spare or self._make_room():
+            if self.door is not None and not self.door.more():
+                return False  # the others wait outside: each newcomer costs what several operations do
             try:
-                raw, _ = listening.accept()
+                raw, sender = listening.accept()
             except BlockingIOError:
                 return True
             except OSError as bad:  # out of descriptors, or gone before it was taken
                 logger.warning("accept failed: {}", bad)
                 return False
             try:
-                self._take(raw)
+                self._take(raw, sender[0])
             except OSError as bad:
                 logger.warning("a connection was gone at once: {}", bad)
                 raw.close()
         return False
 
-    def _take(self, raw: socket.socket) -> None:
+    def _take(self, raw: socket.socket, source: str) -> None:
         raw.setblocking(False)
         raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         now = self.clock()
-        client = Client(raw, now, quiet_since=now)
+        client = Client(raw, now, quiet_since=now, source=source)
         client.crowding = len(self.connections) >= self.most and not self._make_room()
         client.slot = self.connections.add(client)
+        client.name = b"%d" % client.slot
         self.nursery.start_soon(self._serve, client)
 
     def _make_room(self) -> bool:
@@ -157,7 +191,8 @@
         now = self.clock()
         if now < self.next_look:
             return False  # a look at all of them for each newcomer would be most of what a full door does
-        if any(self._hang_up(client) for client in self.connections):
+        standing = self.connections if self.door is None else self.door.crowded(self.connections)
+        if any(self._hang_up(client) for client in standing):
             return True
         self.next_look = now + LEAST_LOOK
         return False
@@ -219,7 +254,7 @@
             self.held -= ticket.held
             if ticket.handle is not None:
                 self._close_ident(ticket.ident)
-                self.dispatch.client_gone(ticket.handle)
+                (self.door or self.dispatch).client_gone(ticket.handle)
         client.tickets.clear()
         shut(client.raw)
 
@@ -280,12 +315,14 @@
         except Refused as bad:
             self._put(client, b"-ERR %b\r\n" % str(bad).encode())
             return
+        client.tenant = operation.tenant
         held = len(message.raw) * (2 if write else 1)  # its value stands alone, too, for the origin
         client.crowding = client.crowding and len(self.connections) > self.most
         full = self.held + held > self.most_held or len(self.dispatch.exchanges) >= self.most_in_hand
         # Short of CPU, more in hand makes all of it late: what comes then is answered while that is cheap.
-        if client.crowding or full or self.dispatch.deadlines.behind > MOST_BEHIND:
-            self._put(client, BUSY)  # it never ran
+        behind = self.door is None and self.dispatch.deadlines.behind > MOST_BEHIND
+        if client.crowding or full or behind:
+            self._put(client, BUSY if self.door is None else self.door.full(operation))  # it never ran
             return
         ticket = Ticket(held=held, ident=cargo.ident)
         self.idents_open.add(cargo.ident)
@@ -300,7 +337,10 @@
             ticket.held = len(reply)
             self._flush(client)
 
-        handle = self.dispatch.submit(operation, cargo, answer)
+        if self.door is None:
+            handle = self.dispatch.submit(operation, cargo, answer)
+        else:
+            handle = self.door.submit(operation, cargo, answer, client.name, held)
         if ticket.answer is None:
             ticket.handle = handle
 
--- a/gaugehinge/net/dispatch.py
+++ b/gaugehinge/net/dispatch.py
@@ -20,6 +20,11 @@
 GRACE = 0.005  # after the abandon time, which the module keeps by itself, and still before the client's own
 
 
+def busy(wait: float) -> bytes:
+    """A bounce, with when to return if that is told: seconds, or 0."""
+    return b"-BUSY %d\r\n" % max(wait * 1000, 1) if wait else BUSY
+
+
 @dataclass(slots=True, eq=False)
 class Exchange:
     """An operation in hand: what the client sent and where its answer goes."""
@@ -147,7 +152,7 @@
             wait = self.router.how_long(exchange.operation, now)
             exchange.wait = self.deadlines.at(now + wait, self._wake, handle)
         elif verdict is Verdict.BOUNCE:
-            self._answer(exchange, b"-BUSY %d\r\n" % max(answer.time * 1000, 1) if answer.time else BUSY)
+            self._answer(exchange, busy(answer.time))
         elif verdict is Verdict.FORFEIT:
             self._answer(exchange, FAILED)
         self._drop(exchange)
--- a/gaugehinge/net/run.py
+++ b/gaugehinge/net/run.py
@@ -5,6 +5,7 @@
 import gc
 import sys
 from collections.abc import Callable
+from typing import Any
 
 import trio
 
@@ -14,12 +15,12 @@
 YOUNG = 20_000  # objects until the collector looks: passes over what lives long cost answers their time
 
 
-def run(berth: Berth, reread: Callable[[], Berth]) -> int:
-    """Serve until told to leave; the exit code."""
+def run(berth: Berth, reread: Callable[[], Berth], new_door: Callable[..., Any] | None = None) -> int:
+    """Serve until told to leave; the exit code. `new_door`: where a door is switched on."""
     gc.freeze()
     gc.set_threshold(YOUNG, 20, 20)
     try:
-        trio.run(Service(berth, reread).run)
+        trio.run(Service(berth, reread, new_door).run)
     except OSError as bad:
         print(f"cannot serve at {berth.listen[0]}:{berth.listen[1]}: {bad}", file=sys.stderr)
         return 1
--- a/gaugehinge/net/service.py
+++ b/gaugehinge/net/service.py
@@ -10,11 +10,11 @@
 import trio
 from loguru import logger
 
-from ..charter import BadCharter
+from ..charter import BadCharter, Charter
 from ..terms import Presence
 from .berth import Berth, lasting
 from .bulletin import Bulletin, read_bulletin
-from .clients import Clients
+from .clients import Clients, Door
 from .deadlines import Clock, Deadlines
 from .discovery import Discovery
 from .dispatch import Dispatch
@@ -38,8 +38,12 @@
 class Service:
     """One router."""
 
-    def __init__(self, berth: Berth, reread: Callable[[], Berth]) -> None:
-        """`reread` brings the configuration as it is now, or raises BadCharter."""
+    def __init__(
+        self, berth: Berth, reread: Callable[[], Berth],
+        new_door: Callable[[Charter, Dispatch, int], Door] | None = None,
+    ) -> None:
+        """`reread` brings the configuration as it is now, or raises BadCharter; `new_door` a door."""
+        self.new_door = new_door
         self.berth = berth
         self.reread = reread
         self.course = Course()
@@ -73,9 +77,10 @@
                 if known is not None:
                     self.dispatch.hear_list(known, held=True)
                 self.dispatch.begin()
+                door = self.new_door(berth.charter, self.dispatch, berth.memory) if self.new_door else None
                 self.clients = Clients(
                     berth.charter, self.course, self.dispatch, int(berth.sockets * CLIENT_PART), berth.memory,
-                    nursery,
+                    nursery, door,
                 )
                 nursery.start_soon(self.deadlines.run)
                 if peers is not None:
@@ -160,6 +165,8 @@
         shut(self.listening)
         while clients.connections:
             if self.clock() > end - LAST_PART:
+                if clients.door is not None:
+                    clients.door.forfeit_rest()
                 self.dispatch.forfeit_rest()
             if self.clock() > end and not clients.owe():
                 break  # what is left stands within a command that never comes whole
--- a/gaugehinge/rehearsal/routers.py
+++ b/gaugehinge/rehearsal/routers.py
@@ -64,6 +64,7 @@
             tier=self._tier(addresses),
             limits=script.routers.limits,
             rules=script.rules,
+            door=script.routers.door,
         )
         toml.write(self.file, installation)
 
--- a/gaugehinge/rehearsal/script.py
+++ b/gaugehinge/rehearsal/script.py
@@ -14,7 +14,7 @@
 from ..forms import toml
 from ..forms.toml import BadField, above, unique
 from ..forms.units import Seconds, default
-from ..installation.form import Limits, Rules
+from ..installation.form import DoorEntry, Limits, Rules
 from ..load.form import Load, Sender, Surge, check_mixes
 
 MOST_LASTS = 3600.0
@@ -64,6 +64,7 @@
         Meta(description="a stand-in that breaks a rule, in place of the router: to try the referee"),
     ] = ""
     cpus: Annotated[tuple[int, ...], Meta(description="cores that they may use; without: all")] = ()
+    door: DoorEntry = default(DoorEntry())
     messages: Annotated[bool, Meta(description="they tell one another their rates by UDP")] = True
     restart_after: Annotated[
         Seconds, Meta(description="a router told to end, or killed, is started again after so long")
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -254,7 +254,8 @@
 
 
 @asynccontextmanager
-async def fleet(tmp_path, caches=(), origin=None, discovery=None, sockets=256, settings=None, peers=()):
+async def fleet(tmp_path, caches=(), origin=None, discovery=None, sockets=256, settings=None, peers=(),
+                new_door=None):
     """Start stand-ins and a router; the router ends by itself or with the block."""
     origin = Web(origin or (lambda method, target, headers, body: (200, "", b"fetched")))
     caches = list(caches) or [Cache()]
@@ -279,7 +280,7 @@
         path = tmp_path / "config.json"
         path.write_text(json.dumps(config))
         environment = {"LB_CONFIG": str(path)}
-        service = Service(read_berth(environment), partial(read_berth, environment))
+        service = Service(read_berth(environment), partial(read_berth, environment), new_door)
         made = Fleet(service, caches, origin, port, targets, trio.CancelScope(), trio.Event(), path)
         nursery.start_soon(_run, made)
         await trio.testing.wait_all_tasks_blocked()
