--- a/gaugehinge/installation/form.py
+++ b/gaugehinge/installation/form.py
@@ -166,7 +166,7 @@
 class DoorEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The door: fair turns by tenant and client before anything is taken in hand (docs/door.md)."""
 
-    on: Annotated[bool, Meta(description="off: what comes is taken in hand at once, up to fixed limits")] = False
+    on: Annotated[bool, Meta(description="off: what comes is taken in hand at once, to fixed limits")] = False
     client: Annotated[
         str,
         Meta(
