--- a/benchmarks/carry.py
+++ b/benchmarks/carry.py
@@ -20,6 +20,7 @@
 
 from gaugehinge.emulator.form import Caches, Emulator, Front, OriginForm, Traffic
 from gaugehinge.forms.units import Rate, Seconds, Size
+from gaugehinge.installation.form import DoorEntry
 from gaugehinge.load.form import Load, Sender
 from gaugehinge.rehearsal.results import write_results
 from gaugehinge.rehearsal.run import Rehearsal
@@ -30,7 +31,7 @@
 REST = tuple(CORES[4:]) or tuple(CORES)  # routers
 
 
-def script(rate: int, routers: int, lasts: float, seed: int) -> Script:
+def script(rate: int, routers: int, lasts: float, seed: int, door: bool) -> Script:
     """Calm: no faults, caches far from full, one read in twenty a miss, one operation in fifty a write."""
     read = Traffic("read", "idempotent", Seconds(0.5), abandon_time=Seconds(1.5), service=Seconds(0.003))
     book = Traffic(
@@ -46,14 +47,14 @@
         emulator=Emulator(
             (Caches(count=12, cores=8),), OriginForm(cores=64), front=Front(used=False), processes=3
         ),
-        routers=Routers(routers, cpus=REST),
+        routers=Routers(routers, cpus=REST, door=DoorEntry(on=door)),
         load=Load(mix={"read": 0.98, "book": 0.02}),
     )
 
 
-def measure(rate: int, routers: int, lasts: float, seed: int, folder: Path) -> dict:
+def measure(rate: int, routers: int, lasts: float, seed: int, door: bool, folder: Path) -> dict:
     """One run; its results."""
-    trio.run(Rehearsal(script(rate, routers, lasts, seed), folder).run)
+    trio.run(Rehearsal(script(rate, routers, lasts, seed, door), folder).run)
     return write_results(folder)
 
 
@@ -75,10 +76,11 @@
 @click.option("--routers", type=int, help="For all rates; else one, and four from 3,000 on.")
 @click.option("--lasts", type=float, default=10.0, show_default=True)
 @click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--door/--no-door", default=False, show_default=True, help="Routers with a door.")
 @click.option(
     "--out", type=click.Path(file_okay=False), help="Folder for the records; a new one under runs/."
 )
-def main(rates: str, routers: int | None, lasts: float, seed: int, out: str | None) -> None:
+def main(rates: str, routers: int | None, lasts: float, seed: int, door: bool, out: str | None) -> None:
     """Measure and print a table."""
     os.sched_setaffinity(0, PLAY)
     Path("runs").mkdir(exist_ok=True)
@@ -91,7 +93,7 @@
     found = {}
     for rate in map(int, rates.split(",")):
         count = routers or (4 if rate >= 3000 else 1)
-        found[rate] = measure(rate, count, lasts, seed, folder / f"{rate}-{count}")
+        found[rate] = measure(rate, count, lasts, seed, door, folder / f"{rate}-{count}")
         print(row(rate, count, found[rate]), flush=True)
     (folder / "results.json").write_bytes(msgspec.json.encode(found))
 
--- a/gaugehinge/rehearsal/report.py
+++ b/gaugehinge/rehearsal/report.py
@@ -91,15 +91,21 @@
 def _modes(runs: list[dict[str, Any]]) -> str:
     """Mode changes as ticks, a row for each router or process, the steps' marks above."""
     figure, axes = _axes("Mode changes", runs)
-    names = sorted({text.split(":")[0] for run in runs for _, text in run["modes"]})
+    names = sorted({_who(text) for run in runs for at, text in run["modes"] if at >= -1})
     for number, run in enumerate(runs):
         for at, text in run["modes"]:
             if at >= -1:
-                axes.plot([at], [names.index(text.split(":")[0]) + 0.15 * number], "|", color=f"C{number}")
+                axes.plot([at], [names.index(_who(text)) + 0.15 * number], "|", color=f"C{number}")
     axes.set_yticks(range(len(names)), names, fontsize=6)
     return _svg(figure)
 
 
+def _who(text: str) -> str:
+    """Whom a mode change is of: `router 3`, or the server that fell."""
+    words = text.replace(":", "").split()
+    return " ".join(words[:2]) if words[0] == "router" else words[0]
+
+
 def plots(runs: list[dict[str, Any]]) -> list[str]:
     """All plots of one or two runs, each an SVG element."""
     with matplotlib.rc_context(FACE):
