Child processes share one start, played doors are abstract where each kind differs

Cause: the review of the change found the start of a steered process written three times, a table of faults three times, and methods that raised where they should be abstract.

Change: emulator/lines.run_child; one set of a server's faults; abstract methods; a TypeError for what is no unit.

--- a/gaugehinge/emulator/doors.py
+++ b/gaugehinge/emulator/doors.py
@@ -5,6 +5,7 @@
 
 import socket
 import struct
+from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
@@ -65,7 +66,7 @@
         return began
 
 
-class Door:
+class Door(ABC):
     """The listeners of one played server, one for each router, and its connections."""
 
     def __init__(
@@ -289,16 +290,17 @@
 
     # -- what each kind of server does
 
+    @abstractmethod
     def new_parser(self) -> object:
-        raise NotImplementedError
+        """The state of a new connection."""
 
+    @abstractmethod
     def take(self, wire: Wire, data: bytes) -> None:
         """Bytes that came."""
-        raise NotImplementedError
 
+    @abstractmethod
     def gone(self, command: Command) -> None:
         """A command whose line ended."""
-        raise NotImplementedError
 
 
 class CacheDoor(Door):
@@ -404,9 +406,9 @@
             raw.send(http_answer(503, b"too many connections", b"X-Turned-Away: 1\r\n"))
         raw.close()
 
+    @abstractmethod
     def request(self, wire: Wire, head: h11.Request, body: bytes) -> None:
         """A whole request."""
-        raise NotImplementedError
 
 
 class OriginDoor(HttpDoor):
--- a/gaugehinge/emulator/form.py
+++ b/gaugehinge/emulator/form.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated, Literal
+from typing import Annotated
 
 import msgspec
 from msgspec import Meta
@@ -168,24 +168,3 @@
 def part_of(number: int, processes: int) -> int:
     """The process that plays a cache server."""
     return 0 if processes == 1 else 1 + number % (processes - 1)
-
-
-FaultName = Literal[
-    "slow",
-    "errors",
-    "deaf",
-    "mute",
-    "half",
-    "spoilt",
-    "twice",
-    "reset",
-    "refuse",
-    "hang",
-    "pause",
-    "pause_answer",
-    "stop",
-    "outage",
-    "empty",
-    "stale",
-    "late",
-]
--- a/gaugehinge/emulator/front.py
+++ b/gaugehinge/emulator/front.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import signal
 import socket
 import sys
 import time
@@ -18,7 +17,7 @@
 
 from ..forms.record import Recorder
 from ..net.sockets import connect, receive, send_all, shut, tcp
-from .lines import objects, say, standard_input
+from .lines import objects, run_child, say, standard_input
 from .ports import Ports
 
 BACKLOG = 1024
@@ -146,13 +145,5 @@
         nursery.cancel_scope.cancel()
 
 
-def main() -> int:
-    signal.signal(signal.SIGINT, signal.SIG_IGN)
-    logger.remove()
-    logger.add(sys.stderr, level="WARNING", diagnose=False)
-    trio.run(serve)
-    return 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_child(serve))
--- a/gaugehinge/emulator/lines.py
+++ b/gaugehinge/emulator/lines.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import os
+import signal
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 import trio
+from loguru import logger
 
 MOST_LINE = 1 << 20
+YOUNG = 50_000  # objects until the collector looks: its passes would show as lateness
 
 
 class BadLine(ValueError):
@@ -50,3 +54,14 @@
 def line(told: dict[str, Any]) -> bytes:
     """One object as a line."""
     return json.dumps(told).encode() + b"\n"
+
+
+def run_child(serve: Callable[[], Awaitable[None]]) -> int:
+    """A process that is steered over its standard input, which also ends it; its exit code."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # an interrupt is for the process that started us
+    logger.remove()
+    logger.add(sys.stderr, level="WARNING", diagnose=False)
+    gc.freeze()
+    gc.set_threshold(YOUNG, 20, 100)
+    trio.run(serve)
+    return 0
--- a/gaugehinge/emulator/part.py
+++ b/gaugehinge/emulator/part.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-import gc
-import signal
 import socket
 import sys
 import time
@@ -26,7 +24,7 @@
 from .doors import CacheDoor, DirectoryDoor, OriginDoor
 from .faults import Fault
 from .form import Caches, World, part_of, servers
-from .lines import objects, say, standard_input
+from .lines import objects, run_child, say, standard_input
 from .origin import UID as ORIGIN
 from .origin import Origin
 from .ports import Ports, hosts
@@ -334,15 +332,5 @@
         nursery.cancel_scope.cancel()
 
 
-def main() -> int:
-    signal.signal(signal.SIGINT, signal.SIG_IGN)  # the process that started us ends us
-    logger.remove()
-    logger.add(sys.stderr, level="WARNING", diagnose=False)
-    gc.freeze()
-    gc.set_threshold(50_000, 20, 100)
-    trio.run(serve)
-    return 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_child(serve))
--- a/gaugehinge/forms/units.py
+++ b/gaugehinge/forms/units.py
@@ -86,14 +86,14 @@
 def read_unit(kind: type, told: Any) -> Any:
     """msgspec's hook for the types above."""
     if kind not in UNITS:
-        raise NotImplementedError(kind)
+        raise TypeError(f"no figure with a unit: {kind}")
     return UNITS[kind](told)
 
 
 def unit_schema(kind: type) -> dict[str, Any]:
     """The JSON Schema of one of the types above."""
     if kind not in PATTERNS:
-        raise NotImplementedError(kind)
+        raise TypeError(f"no figure with a unit: {kind}")
     what, pattern, example = PATTERNS[kind]
     return {"type": "string", "description": what, "pattern": pattern, "examples": [example]}
 
--- a/gaugehinge/load/worker.py
+++ b/gaugehinge/load/worker.py
@@ -3,18 +3,15 @@
 
 from __future__ import annotations
 
-import gc
 import resource
-import signal
 import sys
 import time
 from pathlib import Path
 
 import msgspec
 import trio
-from loguru import logger
 
-from ..emulator.lines import objects, say, standard_input
+from ..emulator.lines import objects, run_child, say, standard_input
 from ..forms.record import Recorder
 from ..forms.units import UNITS
 from ..net.deadlines import Deadlines
@@ -63,15 +60,5 @@
         say({"event": "second", "outcomes": driver.outcomes, "open": len(driver.open)})
 
 
-def main() -> int:
-    signal.signal(signal.SIGINT, signal.SIG_IGN)
-    logger.remove()
-    logger.add(sys.stderr, level="WARNING", diagnose=False)
-    gc.freeze()
-    gc.set_threshold(50_000, 20, 100)
-    trio.run(serve)
-    return 0
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_child(serve))
--- a/gaugehinge/rehearsal/script.py
+++ b/gaugehinge/rehearsal/script.py
@@ -18,22 +18,8 @@
 from ..load.form import Load, Sender, Surge, check_mixes
 
 MOST_LASTS = 3600.0
-FAULTS_OF = {
-    "cache": {
-        "slow",
-        "errors",
-        "deaf",
-        "mute",
-        "half",
-        "spoilt",
-        "twice",
-        "reset",
-        "refuse",
-        "hang",
-        "pause",
-        "pause_answer",
-    },
-    "origin": {
+SERVER_FAULTS = frozenset(
+    [
         "slow",
         "errors",
         "deaf",
@@ -46,9 +32,12 @@
         "hang",
         "pause",
         "pause_answer",
-        "stop",
-    },
-    "discovery": {"outage", "stale", "empty", "late", "pause", "refuse", "hang"},
+    ]
+)
+FAULTS_OF = {
+    "cache": SERVER_FAULTS,
+    "origin": SERVER_FAULTS | {"stop"},
+    "discovery": frozenset({"outage", "stale", "empty", "late", "pause", "refuse", "hang"}),
 }
 ROUTER_STEPS = {"sigterm", "sighup", "sigkill", "start_router"}
 SERVER_STEPS = {"crash", "restart", "replace", "drain", "restore", "deploy"}
