--- a/gaugehinge/door/fairness.py
+++ b/gaugehinge/door/fairness.py
@@ -20,7 +20,7 @@
 
 from xxhash import xxh64_intdigest
 
-BUCKETS = 1024  # for the clients of all tenants: a twentieth of a percent of collisions between any two
+BUCKETS = 1024  # for the clients of all tenants: any two collide once in a thousand
 RESEED_EVERY = 10.0  # seconds; so long two that collide share one turn
 LEAST_WEIGHT = 0.01  # of the mean: a tenant with no share still gets a turn now and then
 LONG_SOJOURN = 0.1  # where the oldest of all flows of a tenant waited for so long,
--- a/gaugehinge/load/referee.py
+++ b/gaugehinge/load/referee.py
@@ -79,7 +79,7 @@
 
 
 class Referee:
-    """Gathers what both sides saw. It holds a run in memory: some 400 bytes an operation."""
+    """Gathers what both sides saw. It holds a whole run in memory."""
 
     def __init__(self, zero: float, limits: Limits) -> None:
         self.zero = zero
--- a/gaugehinge/rehearsal/run.py
+++ b/gaugehinge/rehearsal/run.py
@@ -16,9 +16,8 @@
 from ..forms import toml
 from ..forms.record import Recorder
 from ..load.crew import Crew
-from ..load.form import Job
 from .routers import RouterFailed, RouterProcess, router_addresses
-from .script import Script
+from .script import Script, job_of
 from .timeline import Deed, deeds
 
 SAMPLE_EVERY = 0.5
@@ -108,20 +107,8 @@
         targets = tuple(addresses)
         if script.emulator.front.used:
             targets = (await self._start_front(addresses),)
-        job = Job(
-            script.load,
-            script.tenants,
-            script.traffic,
-            script.surges,
-            float(script.lasts),
-            script.seed,
-            targets,
-            not script.emulator.front.used,
-            0,
-            "",
-            self.replay,
-            self.speed,
-        )
+        front = script.emulator.front.used
+        job = job_of(script, targets, not front, self.replay, self.speed)
         self.crew = Crew(job, self.folder)
         await self.crew.start()
 
--- a/gaugehinge/rehearsal/script.py
+++ b/gaugehinge/rehearsal/script.py
@@ -15,7 +15,7 @@
 from ..forms.toml import BadField, above, unique
 from ..forms.units import Seconds, default
 from ..installation.form import DoorEntry, Limits, Rules
-from ..load.form import Load, Sender, Surge, check_mixes
+from ..load.form import Job, Load, Sender, Surge, check_mixes
 
 MOST_LASTS = 3600.0
 SERVER_FAULTS = frozenset(
@@ -257,6 +257,26 @@
         )
 
 
+def job_of(
+    script: Script, targets: tuple[tuple[str, int], ...], routers: bool, replay: tuple[str, ...], speed: float
+) -> Job:
+    """What the load's workers are told; `routers`: the targets are routers in the order of their numbers."""
+    return Job(
+        script.load,
+        script.tenants,
+        script.traffic,
+        script.surges,
+        float(script.lasts),
+        script.seed,
+        targets,
+        routers,
+        0,
+        "",
+        replay,
+        speed,
+    )
+
+
 REFERENCE = (
     "Script of a rehearsal",
     "TOML, read by `gaugehinge rehearse`, `emulate`, `load` and `check --as "
--- a/gaugehinge/rehearsal/send.py
+++ b/gaugehinge/rehearsal/send.py
@@ -9,8 +9,7 @@
 
 from ..forms import toml
 from ..load.crew import Crew
-from ..load.form import Job
-from .script import Script
+from .script import Script, job_of
 
 
 async def send(
@@ -24,20 +23,7 @@
     """Send it all; tries by outcome. Raises ChildFailed."""
     folder.mkdir(parents=True, exist_ok=True)
     toml.write(folder / "script.toml", script)
-    job = Job(
-        script.load,
-        script.tenants,
-        script.traffic,
-        script.surges,
-        float(script.lasts),
-        script.seed,
-        targets,
-        True,
-        0,
-        "",
-        replay,
-        speed,
-    )
+    job = job_of(script, targets, True, replay, speed)
     crew = Crew(job, folder)
     try:
         await crew.start()
