--- a/gaugehinge/charter.py
+++ b/gaugehinge/charter.py
@@ -7,13 +7,16 @@
 
 import json
 from dataclasses import dataclass
-from math import isfinite
+from math import inf, isfinite
 from typing import Any
 
-from .terms import Deployment, Effect, Group, Tenant, TrafficType
+from .terms import Deployment, Effect, Group, Report, Tenant, TrafficType
 
 EFFECTS = {"repeatable": Effect.IDEMPOTENT, "by_key": Effect.DEDUPLICATED, "once": Effect.UNREPEATABLE}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+# Weights that follow the load would move keys with every list: they count as none.
+WEIGHTS = {"off": False, "nominal": True, "rough": True, "live": False}
+SOURCES = {"off": False, "inline": True, "on_probe": False}  # whether reports come with answers
 NEEDED = object()  # the default of a field that must be there
 
 
@@ -65,6 +68,12 @@
             raise BadCharter(f"{path}: not text")
         return value
 
+    def word(self, name: str, known: dict[str, Any], default: str) -> Any:
+        path, value = self._take(name, default)
+        if not isinstance(value, str) or value not in known:
+            raise BadCharter(f"{path}: none of {', '.join(known)}")
+        return known[value]
+
     def page(self, name: str, default: Any = NEEDED) -> Page:
         path, value = self._take(name, default)
         return Page(value, path)
@@ -75,11 +84,33 @@
             raise BadCharter(f"{path}: not a list")
         return value
 
+    def texts(self, name: str, default: Any = NEEDED) -> list[str]:
+        path = f"{self.path}.{name}" if self.path else name
+        return [Page({"": value}, f"{path}[{i}]").text("") for i, value in enumerate(self.row(name, default))]
+
     def pages(self, name: str, default: Any = NEEDED) -> list[Page]:
         path = f"{self.path}.{name}" if self.path else name
         return [Page(value, f"{path}[{i}]") for i, value in enumerate(self.row(name, default))]
 
 
+def read_report(text: str, mark: str, names: frozenset[str]) -> Report | None:
+    """A load report, names and values set apart by `mark`; whatever is missing or garbled counts as none."""
+    told = dict(part.split(mark, 1) for part in text.split(",") if mark in part)
+    held = figure(told.get("active", "")) if "active" in names else None
+    if held is None:
+        return None
+    return Report(held, figure(told.get("rps", "")) or 0.0 if "rps" in names else 0.0)
+
+
+def figure(text: str) -> float | None:
+    """A figure told by others: finite and not below nought, or none."""
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0.0 <= value < inf else None
+
+
 @dataclass(slots=True, frozen=True)
 class Charter:
     """The deployment, and what the door has to know besides."""
@@ -91,6 +122,7 @@
     idle_time: float  # a server closes what stood idle for this long
     most_open: int  # operations in hand
     longest_wait: float  # of a client for an answer
+    gauges: frozenset[str] = frozenset()  # what load reports with answers hold; empty where none come
 
 
 def _traffic_type(row: int, page: Page) -> TrafficType:
@@ -109,6 +141,7 @@
     """Read the settings object."""
     page = Page(settings, path)
     allowed, rules, domain = page.page("allowed", {}), page.page("rules", {}), page.page("domain", {})
+    report = page.page("report", {})
     types, parties = page.pages("trafficTypes", []), page.pages("parties", [])
     shapes = page.row("shapes", [])
     kind = int(domain.number("originKind", -1, least=-1))
@@ -133,6 +166,7 @@
         longest_come_back=allowed.seconds("maxRetryAfterUs", 0) if heeds else 0.0,
         beyond_share=page.number("beyondSharePayoff", 1.0),
         payoff_by_work=page.text("payoffBy", "") == "work",
+        weighted=page.word("weights", WEIGHTS, "off"),
     )
     return Charter(
         deployment,
@@ -142,6 +176,7 @@
         allowed.seconds("connIdleUs", 10_000_000),
         allowed.count("openCap", 20_000, least=1),
         max((entry.seconds("abandonTimeUs", 3_000_000) for entry in types), default=3.0),
+        frozenset(report.texts("names", []) if report.word("source", SOURCES, "off") else ()),
     )
 
 
--- a/gaugehinge/net/bulletin.py
+++ b/gaugehinge/net/bulletin.py
@@ -7,7 +7,7 @@
 
 from xxhash import xxh64_intdigest
 
-from ..charter import Page
+from ..charter import Page, figure
 from ..terms import Listing, Presence
 from .berth import Address, address
 
@@ -49,5 +49,7 @@
     ident = xxh64_intdigest(uid.encode())
     started = entry.number("boot_ms", 0) / 1000.0
     cell = int(entry.number("pod_group", 0, least=-1))
-    listing = Listing(ident, entry.text("az", ""), entry.text("model", ""), cell, presence, started)
+    hint = entry.values.get("capacity_hint")
+    weight = 0.0 if isinstance(hint, bool) else figure(str(hint)) or 0.0
+    listing = Listing(ident, entry.text("az", ""), entry.text("model", ""), cell, presence, started, weight)
     return Target(listing, uid, where)
--- a/gaugehinge/net/dispatch.py
+++ b/gaugehinge/net/dispatch.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from ..charter import read_report
 from ..policy import Router
 from ..terms import Answer, Deployment, Errand, Leg, Operation, Outcome, Verdict
 from .deadlines import Deadlines, Due
@@ -40,7 +41,10 @@
 class Dispatch:
     """Operations in hand, by slot, and the calls on the module."""
 
-    def __init__(self, deployment: Deployment, deadlines: Deadlines) -> None:
+    def __init__(
+        self, deployment: Deployment, deadlines: Deadlines, gauges: frozenset[str] = frozenset(),
+    ) -> None:
+        self.gauges = gauges  # what load reports hold
         self.deadlines = deadlines
         self.clock = deadlines.clock
         self.router = Router(deployment, self.clock())
@@ -83,7 +87,9 @@
             exchange.answered = True
             self._give_up(exchange)
 
-    def leg_ended(self, leg: Leg, outcome: Outcome, elapsed: float, value: bytes | None) -> None:
+    def leg_ended(
+        self, leg: Leg, outcome: Outcome, elapsed: float, value: bytes | None, told: bytes = b"",
+    ) -> None:
         """A leg's outcome. The first value settles its operation."""
         exchange = self.exchanges.get(leg.operation.ident)
         if self.redirected is not None and value is not None and outcome is not Outcome.SETTLED:
@@ -92,7 +98,8 @@
         if exchange is not None and outcome is Outcome.SETTLED and not leg.operation.over:
             self._answer(exchange, value)
         try:
-            steps = self.router.after(leg, outcome, elapsed, over, self.clock())
+            report = read_report(told.decode("latin-1"), "=", self.gauges) if self.gauges and told else None
+            steps = self.router.after(leg, outcome, elapsed, over, self.clock(), report)
         except Exception:
             logger.exception("a leg's outcome failed in the decisions")
             leg.out = False
--- a/gaugehinge/net/pool.py
+++ b/gaugehinge/net/pool.py
@@ -47,6 +47,7 @@
     outcome: Outcome
     value: bytes | None = None  # as the client gets it; of a redirection: its words
     keep: bool = True  # whether the line is good for another leg
+    told: bytes = b""  # the load report, or what stands for it
 
 
 class Dialect(Protocol):
@@ -140,15 +141,16 @@
             return Reply(Outcome.TURNED_AWAY)
         if word != b"ERR":
             logger.warning("a cache server answered {!r}", top.body[:80])
-        return Reply(Outcome.ERRORED)
+        return Reply(Outcome.ERRORED, told=top.body.rpartition(b" ")[2])
     if top.kind != ARRAY or top.body is None or len(top.body) != ANSWER_PARTS:
         raise Spoilt("an answer that is no array of three")
-    value, how, _ = top.body  # whatever stands for the load report spoils nothing
+    value, how, report = top.body  # whatever stands for the load report spoils nothing
+    told = report.body if report.kind == BULK and report.body is not None else b""
     if value.kind != BULK or how.kind != BULK:
         raise Spoilt("an answer that is no value with how it went")
     if value.body is None:
-        return Reply(Outcome.MISSED)
-    return Reply(Outcome.SETTLED, message.part(value))
+        return Reply(Outcome.MISSED, told=told)
+    return Reply(Outcome.SETTLED, message.part(value), told=told)
 
 
 class Pool:
@@ -156,7 +158,7 @@
 
     def __init__(
         self, nursery: trio.Nursery, deadlines: Deadlines, most: int, connect_time: float, idle_time: float,
-        ended: Callable[[Leg, Outcome, float, bytes | None], None],
+        ended: Callable[[Leg, Outcome, float, bytes | None, bytes], None],
     ) -> None:
         self.nursery = nursery
         self.deadlines = deadlines
@@ -269,12 +271,14 @@
         self.deadlines.drop(travel.time_out)
         self.deadlines.at(self.clock(), self._end, travel, outcome)
 
-    def _end(self, travel: Travel, outcome: Outcome, value: bytes | None = None) -> None:
+    def _end(
+        self, travel: Travel, outcome: Outcome, value: bytes | None = None, told: bytes = b"",
+    ) -> None:
         if self.travels.pop(travel.leg, None) is None:
             return
         self.deadlines.drop(travel.time_out)
         try:
-            self.ended(travel.leg, outcome, self.clock() - travel.leg.sent, value)
+            self.ended(travel.leg, outcome, self.clock() - travel.leg.sent, value, told)
         except Exception:  # a defect forfeits this leg alone
             logger.exception("the end of a leg of {} failed", travel.cargo.ident)
 
@@ -355,7 +359,7 @@
             self._rest(line)
         else:
             self._close(line)
-        self._end(travel, reply.outcome, reply.value)
+        self._end(travel, reply.outcome, reply.value, reply.told)
 
     def _lose(self, line: Line, spoilt: bool) -> None:
         """A line has ended: so has the leg on it, by where that stood.
--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -29,13 +29,15 @@
     Outcome,
     Presence,
     Purpose,
+    Report,
     Step,
     Tenant,
     Verdict,
 )
 
 # The ring walk (values of the source unless a reason is given)
-POINTS = 100  # ring points of a cache
+POINTS = 100  # ring points of a cache, times its listed weight over the usual one
+MOST_WEIGHT = 8.0  # a listed weight counts as at most this many times the usual one, or this part of it
 FACTOR = 1.25  # the balance factor: a cache over this times the ready mean is walked past
 LEAST_BOUND = 2.0  # below two in flight a bound would scatter the keys of a quiet router
 HOPS = 10  # caches looked at before the least loaded one is taken
@@ -195,6 +197,7 @@
     answered_at: float
     quiet_since: float
     salt: int
+    weight: float = 1.0  # listed, over the usual one
     buckets: list[float] = field(default_factory=lambda: [0.0] * BUCKETS)
     bucket: int = 0  # the newest, counted from the clock's zero
     busy: float = 0.0
@@ -273,6 +276,7 @@
         self.active: dict[int, Cache] = {}  # with a leg out or in the window; the others have no load
         self.zones: dict[str, Zone] = {}  # as many as in the lists so far
         self.kinds: dict[str, Latency] = {}  # as many as labels in the list
+        self.usual_weight = 0.0  # of the first list that told weights; only their ratios mean something
         self.origin: Cache | None = None
         # A queue holds up all that pass through it: the shortest promised time is what it is held to.
         self.shortest = min((t.promised for t in deployment.traffic_types), default=1.0)
@@ -290,7 +294,8 @@
         self.next_return = inf
         self.ready: list[Cache] = []  # up and not aside, in ring order of ids
         self.total = 0.0
-        self.width = 1.0  # sum of the ready shares
+        self.width = 1.0  # sum of the ready shares, by weight
+        self.size = 1.0  # sum of the ready weights
         self.mean_delay = 0.0
         self.latency = Latency(now, ALIKE_KEEP)  # of all caches
         self.next_bucket = now
@@ -342,7 +347,10 @@
             return NOTHING
         return self._route(thing, now)
 
-    def after(self, leg: Leg, outcome: Outcome, elapsed: float, over: bool, now: float) -> list[Step]:
+    def after(
+        self, leg: Leg, outcome: Outcome, elapsed: float, over: bool, now: float,
+        report: Report | None = None,
+    ) -> list[Step]:
         """What to do after this outcome, for its operation and for those that it frees."""
         if now >= self.next_bucket:
             self._turn(now)
@@ -384,6 +392,10 @@
             self.list_heard = True
             self.list_failures = 0
         named = set()
+        listings = list(listings)
+        if self.deployment.weighted and not self.usual_weight:
+            told = sorted(each.weight for each in listings if each.weight > 0.0)
+            self.usual_weight = told[len(told) // 2] if told else 0.0
         for listing in listings:
             named.add(listing.ident)
             self._hear_server(listing, now)
@@ -580,9 +592,9 @@
 
     def _weigh(self, cache: Cache) -> None:
         occupancy = cache.busy / (BUCKET * BUCKETS)
-        load = (cache.out if cache.out > occupancy else occupancy) * cache.multiplier
+        load = (cache.out if cache.out > occupancy else occupancy) * cache.multiplier / cache.weight
         if cache.presence is Presence.UP and not cache.aside_until:
-            self.total += load - cache.load
+            self.total += (load - cache.load) * cache.weight
         cache.load = load
 
     def _judge(self, cache: Cache, now: float) -> None:
@@ -612,7 +624,7 @@
                 cache.busy = cache.load = 0.0
                 del self.active[cache.ident]
         in_use = self.active.values()
-        self.total = sum(c.load for c in in_use if c.presence is Presence.UP and not c.aside_until)
+        self.total = sum(c.load * c.weight for c in in_use if c.presence is Presence.UP and not c.aside_until)
         if now - self.last_beat >= BEAT:
             self._beat(now)
 
@@ -623,34 +635,35 @@
         terms = self.deployment
         if not self.fading:
             return
-        width = float(len(self.ready) - len(self.fading))
+        width = self.size - sum(c.weight for c in self.fading)
         for cache in self.fading:
             age = max(now - cache.started, 0.0)
             cache.share = min(age / self.fade, 1.0) ** FADE_CURVE
             warm = min(age / terms.cold_time, 1.0) if terms.cold_time else 1.0
             cache.capacity = terms.cold_from + (1.0 - terms.cold_from) * warm
-            width += cache.share
+            width += cache.share * cache.weight
         self.fading = fading = [c for c in self.fading if c.share < 1.0]
-        fair = self.rate.read(now) / len(self.ready)
-        wanted = THIN_SHARE * len(self.ready)
+        fair = self.rate.read(now) / self.size
+        wanted = THIN_SHARE * self.size
         lift = 0.0
         if width < wanted and fading:
             # Most of the fleet joins at once: the few others would drown, so the joining ones take
             # up to what they are stated to bear.
-            room = sum(max(c.capacity - c.share, 0.0) for c in fading)
+            room = sum(max(c.capacity - c.share, 0.0) * c.weight for c in fading)
             lift = min((wanted - width) / room, 1.0) if room else 0.0
         for cache in fading:
             raised = lift * max(cache.capacity - cache.share, 0.0)
             cache.share += raised
-            width += raised
-            most = max(1.0, fair * cache.capacity * terms.fall_time * 0.5)
+            width += raised * cache.weight
+            most = max(1.0, fair * cache.weight * cache.capacity * terms.fall_time * 0.5)
             # A floor for each router, or a first token, pushes a cold cache over where there are hundreds.
-            refill = max(fair, COLD_FLOOR / terms.routers) * cache.capacity * COLD_PART * terms.fall_multiple
+            least = max(fair * cache.weight, COLD_FLOOR / terms.routers) * cache.capacity
+            refill = least * COLD_PART * terms.fall_multiple
             cache.tokens = min(cache.tokens + refill * span, most)
         self.width = max(width, 0.01)
         if self.thin is not (lift > 0.0):
             self.thin = lift > 0.0
-            self.log.append(f"fleet {'thin' if lift else 'whole'}: share {width:.1f} of {len(self.ready)}")
+            self.log.append(f"fleet {'thin' if lift else 'whole'}: share {width:.1f} of {self.size:.1f}")
 
     # ---------------------------------------------------------------- set-aside
 
@@ -768,6 +781,8 @@
                 listing.ident, listing.zone, near, listing.cell, listing.started, listing.presence, origin,
                 kind, Latency(now), Rate(now), now, now, xxh64_intdigest(b"fade-%d" % listing.ident),
             )
+            if self.usual_weight and listing.weight > 0.0:
+                known.weight = min(max(listing.weight / self.usual_weight, 1 / MOST_WEIGHT), MOST_WEIGHT)
             if listing.started and now - listing.started < self.fade:
                 known.share, known.tokens = 0.0, self._chance()
             if origin:
@@ -791,14 +806,16 @@
         if not self.moved:
             return
         gone, new = set(), []
-        for ident in dict.fromkeys(c.ident for c in self.moved if not c.origin):
-            cache = self.caches.get(ident)
-            points = [xxh64_intdigest(b"%d-%d" % (ident, i)) for i in range(POINTS)]
-            if cache is None or cache.presence is not Presence.UP:
+        for cache in self.moved:
+            if cache.origin:
+                continue
+            count = max(int(POINTS * cache.weight), 1)
+            points = [xxh64_intdigest(b"%d-%d" % (cache.ident, i)) for i in range(count)]
+            if self.caches.get(cache.ident) is not cache or cache.presence is not Presence.UP:
                 gone.update(points)
                 continue
-            if points[0] not in self.owners:
-                new += points
+            gone.difference_update(points)  # of its process before; that may have had more points
+            new += [point for point in points if point not in self.owners]
             for point in points:
                 self.owners[point] = cache
         if gone:
@@ -815,8 +832,9 @@
         up = [c for c in self.caches.values() if c.presence is Presence.UP and not c.aside_until]
         self.ready = sorted(up, key=lambda cache: cache.ident)
         self.fading = [c for c in self.ready if c.share < 1.0]
-        self.total = sum(c.load for c in self.ready)
-        self.width = max(sum(c.share for c in self.ready), 0.01)
+        self.total = sum(c.load * c.weight for c in self.ready)
+        self.size = sum(c.weight for c in self.ready)
+        self.width = max(sum(c.share * c.weight for c in self.ready), 0.01)
 
     # ---------------------------------------------------------------- admission under overload
 
--- a/gaugehinge/simhost/wire.py
+++ b/gaugehinge/simhost/wire.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from ..charter import figure
 from ..terms import Listing, Outcome, Presence
 
 OUTCOMES = {
@@ -49,4 +50,5 @@
     return Listing(
         int(values["server"]), values.get("az", ""), values.get("classOfHost", ""),
         int(values.get("stripe", 0)), presence, seconds(values.get("cameUpUs", 0)),
+        figure(values.get("weight", "")) or 0.0,
     )
--- a/gaugehinge/terms.py
+++ b/gaugehinge/terms.py
@@ -119,6 +119,7 @@
     longest_come_back: float  # 0 where clients are not told when to come back
     beyond_share: float
     payoff_by_work: bool
+    weighted: bool = False  # the list tells how much each server bears beside the others
 
 
 class Listing(NamedTuple):
@@ -130,6 +131,7 @@
     cell: int
     presence: Presence
     started: float  # 0: long ago
+    weight: float = 0.0  # beside that of others; 0 where none is told
 
 
 @dataclass(slots=True, eq=False)
@@ -183,6 +185,13 @@
     due: float = 0.0
 
 
+class Report(NamedTuple):
+    """What a server told of its load with an answer, for all its routers together."""
+
+    held: float  # operations in its hands
+    rate: float  # operations a second, 0 where it is not told
+
+
 class Answer(NamedTuple):
     """What the module says of an operation or an errand."""
 
