--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -58,6 +58,10 @@
 KEEP_LEAST = 0.2  # they keep this part of their keys, or could never show that they recovered
 KEEP_POWER = 2  # of the quickest label's latency over theirs: alone, few legs' means draw it near one
 
+# Load that caches tell with their answers
+TOLD_LEGS = 0.8  # of what a cache told before, a report: one alone is late and noisy
+TOLD_FADE = 10.0  # seconds without a further one: late reports steer nobody for long
+
 # Cold caches
 THIN_SHARE = 0.7  # with less than this part of the fleet's share at work, fading caches are lifted
 COLD_FLOOR = 2.5  # legs a second that all routers together try at a cold cache, however little they see
@@ -205,6 +209,8 @@
     load: float = 0.0
     multiplier: float = 1.0
     late: float = 0.0  # smoothed part of the promised time that its legs take
+    told: float = 0.0  # smoothed, what it holds for all routers over its weight
+    told_at: float = 0.0
     fault: float = 0.0
     aside_until: float = 0.0
     full_until: float = 0.0
@@ -296,6 +302,7 @@
         self.total = 0.0
         self.width = 1.0  # sum of the ready shares, by weight
         self.size = 1.0  # sum of the ready weights
+        self.told = 0.0  # mean of what caches tell that they hold
         self.mean_delay = 0.0
         self.latency = Latency(now, ALIKE_KEEP)  # of all caches
         self.next_bucket = now
@@ -303,6 +310,7 @@
         self.rate = Rate(now)  # of the legs that caches answered
         self.thin = False
         self.counter = self.walks = 0
+        self.salt = xxh64_intdigest(b"%d" % deployment.seed)
         self.repeats = 1.0  # further legs that may follow a time-out
         self.spare = max(SPARE_TICKS * deployment.tick, 0.005)
         self.last_beat = now
@@ -361,6 +369,8 @@
         if cache.origin:
             self._learn_origin(leg, outcome, elapsed, now)
         else:
+            if report is not None:
+                self._hear_load(cache, report, now)
             self._learn_cache(leg, outcome, elapsed, now)
         if over:
             operation.over = True
@@ -475,7 +485,7 @@
                 return None
             if self._may_take(cache, operation, key):
                 load = cache.load
-                if load <= bound:
+                if load <= bound and self._stays(cache, key, now):
                     return cache
                 hops += 1
                 if least is None or load < least.load:
@@ -488,6 +498,26 @@
                 break
         return least or spare  # a joining cache within its budget, rather than none
 
+    def _stays(self, cache: Cache, key: int, now: float) -> bool:
+        """Whether this router stays at a cache that tells of more than the bound.
+
+        All hear the same late report: past the bound by that alone, they would all leave and all come back.
+        So each key of each router has a draw, and as many stay as the cache would bear.
+        """
+        if not cache.told:
+            return True
+        bound = max(LEAST_BOUND, FACTOR * self.told)
+        told = cache.told * exp((cache.told_at - now) / TOLD_FADE)
+        draw = (((key ^ cache.salt ^ self.salt) * MIX) & MASK) / SCALE
+        return told <= bound or draw < bound / told
+
+    def _hear_load(self, cache: Cache, report: Report, now: float) -> None:
+        held = report.held / cache.weight
+        keep = TOLD_LEGS * exp((cache.told_at - now) / TOLD_FADE) if cache.told_at else 0.0
+        cache.told += (1.0 - keep) * (held - cache.told)
+        cache.told_at = now
+        self.told += (1.0 - LATENCY_KEEP) * (held - self.told)
+
     def _walk_among(self, operation: Operation, key: int, bound: float) -> Cache | None:
         """The same walk where servers say who serves a key: past its owner over the bound, on to replicas."""
         least = spare = None
