Where crossing zones is dear, the walk starts in the own zone; a crowded one gives up keys

First the own zone's part of the ring is walked, then all of it; a zone whose legs take longer than those of the quickest other gives up keys, always the same ones.

--- a/gaugehinge/charter.py
+++ b/gaugehinge/charter.py
@@ -142,6 +142,7 @@
     page = Page(settings, path)
     allowed, rules, domain = page.page("allowed", {}), page.page("rules", {}), page.page("domain", {})
     report = page.page("report", {})
+    prices = page.page("prices", {})
     types, parties = page.pages("trafficTypes", []), page.pages("parties", [])
     shapes = page.row("shapes", [])
     kind = int(domain.number("originKind", -1, least=-1))
@@ -167,6 +168,8 @@
         beyond_share=page.number("beyondSharePayoff", 1.0),
         payoff_by_work=page.text("payoffBy", "") == "work",
         weighted=page.word("weights", WEIGHTS, "off"),
+        zone=page.text("az", ""),
+        cross_price=prices.number("crossZone", 0.0),
     )
     return Charter(
         deployment,
--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -41,6 +41,7 @@
 FACTOR = 1.25  # the balance factor: a cache over this times the ready mean is walked past
 LEAST_BOUND = 2.0  # below two in flight a bound would scatter the keys of a quiet router
 HOPS = 10  # caches looked at before the least loaded one is taken
+NEAR_PRICE = 0.05  # a crossing of zones at this price is dearer than the hits of one pool for all
 MOST_PASSED = 12  # caches passed in all, with those that cannot take it: a full fleet is not searched whole
 BUCKET = 0.03  # the occupancy window is five of these
 BUCKETS = 5
@@ -233,8 +234,10 @@
 class Zone:
     """What this router knows of the caches of one zone together."""
 
+    latency: Latency
     failed: set[int] = field(default_factory=set)  # since one of them answered; emptied then
     out: int = 0
+    keep: float = 1.0  # of the own one: the part of the keys that start there
 
 
 @dataclass(slots=True)
@@ -281,6 +284,7 @@
         self.caches: dict[int, Cache] = {}  # follows the list
         self.active: dict[int, Cache] = {}  # with a leg out or in the window; the others have no load
         self.zones: dict[str, Zone] = {}  # as many as in the lists so far
+        self.own = Zone(Latency(now, ALIKE_KEEP))
         self.kinds: dict[str, Latency] = {}  # as many as labels in the list
         self.usual_weight = 0.0  # of the first list that told weights; only their ratios mean something
         self.origin: Cache | None = None
@@ -294,6 +298,7 @@
         self.missed_before: dict[bytes, int] = {}
         self.next_memory = now
         self.points: list[int] = []
+        self.rings: list[list[int]] = []  # walked one after the other: all, or the own zone before all
         self.owners: dict[int, Cache] = {}  # by point
         self.moved: list[Cache] = []  # emptied when the ring has followed the list
         self.fading: list[Cache] = []
@@ -461,8 +466,7 @@
 
     def _walk(self, operation: Operation, now: float) -> Cache | None:
         """Clockwise from the key's place, past each cache over the bound."""
-        points = self.points
-        if not points:
+        if not self.points:
             return None
         operation.asked = now
         bound = max(LEAST_BOUND, FACTOR * self.total / self.width)
@@ -470,32 +474,37 @@
         if operation.among is not None:
             return self._walk_among(operation, key, bound)
         owners = self.owners
-        start = bisect_left(points, key)
         most = min(len(self.caches), MOST_PASSED)
         self.walks = walk = self.walks + 1
         passed = hops = 0
         least = spare = None
-        for i in range(start - len(points), start):
-            cache = owners[points[i]]
-            if cache.walk == walk:
-                continue
-            cache.walk = walk
-            passed += 1
-            if operation.beyond and passed == 1 and not self._has_spare_room(cache, now):
-                return None
-            if self._may_take(cache, operation, key):
-                load = cache.load
-                if load <= bound and self._stays(cache, key, now):
-                    return cache
-                hops += 1
-                if least is None or load < least.load:
-                    least = cache
-            elif cache.share < 1.0 and (spare is None or cache.load < spare.load) and (
-                self._may_join(cache, operation)
-            ):
-                spare = cache
-            if passed >= most or hops >= HOPS:
-                break
+        rings = self.rings
+        if len(rings) > 1 and ((key * MIX) & MASK) / SCALE >= self.own.keep:
+            rings = rings[1:]  # a crowded zone gives up keys, always the same ones
+        for points in rings:
+            start = bisect_left(points, key)
+            for i in range(start - len(points), start):
+                cache = owners[points[i]]
+                if cache.walk == walk:
+                    continue
+                cache.walk = walk
+                passed += 1
+                if operation.beyond and passed == 1 and not self._has_spare_room(cache, now):
+                    return None
+                if self._may_take(cache, operation, key):
+                    load = cache.load
+                    if load <= bound and self._stays(cache, key, now):
+                        return cache
+                    hops += 1
+                    if least is None or load < least.load:
+                        least = cache
+                elif cache.share < 1.0 and (spare is None or cache.load < spare.load) and (
+                    self._may_join(cache, operation)
+                ):
+                    spare = cache
+                if passed >= most or hops >= HOPS:
+                    break
+            most, hops = passed + most, 0
         return least or spare  # a joining cache within its budget, rather than none
 
     def _stays(self, cache: Cache, key: int, now: float) -> bool:
@@ -746,7 +755,7 @@
         self._judge(cache, now)
 
     def _learn_latency(self, cache: Cache, relative: float, now: float) -> None:
-        for each in (cache.latency, cache.kind, self.latency):
+        for each in (cache.latency, cache.kind, cache.near.latency, self.latency):
             each.add(min(relative, MOST_MULTIPLIER), now)
 
     def _learn_settled(self, cache: Cache, operation: Operation, elapsed: float, now: float) -> None:
@@ -806,7 +815,9 @@
             if known is not None:
                 self._remove(known)
             kind = self.kinds.setdefault(listing.kind, Latency(now, ALIKE_KEEP))
-            near = Zone() if origin else self.zones.setdefault(listing.zone, Zone())
+            near = self.own if listing.zone == self.deployment.zone else Zone(Latency(now, ALIKE_KEEP))
+            if not origin:
+                near = self.zones.setdefault(listing.zone, near)
             known = Cache(
                 listing.ident, listing.zone, near, listing.cell, listing.started, listing.presence, origin,
                 kind, Latency(now), Rate(now), now, now, xxh64_intdigest(b"fade-%d" % listing.ident),
@@ -854,6 +865,10 @@
                 self.owners.pop(point, None)
         if new:
             self.points = sorted(self.points + new)
+        self.rings = [self.points]
+        if self.deployment.cross_price >= NEAR_PRICE:
+            own = [p for p in self.points if self.owners[p].zone == self.deployment.zone]
+            self.rings = [own, self.points]
         self.moved.clear()
         self._choose_ready()
         self._fade(now, 0.0)
@@ -915,6 +930,10 @@
         quickest = min((kind.beside(mean) for kind in self.kinds.values() if kind.finished), default=mean)
         for kind in self.kinds.values():
             kind.keep = max((quickest / kind.beside(mean)) ** KEEP_POWER, KEEP_LEAST)
+        if len(self.rings) > 1:
+            others = [z.latency.beside(mean) for z in self.zones.values() if z is not self.own]
+            away = min(others, default=mean) / self.own.latency.beside(mean)
+            self.own.keep = max(min(away ** KEEP_POWER, 1.0), KEEP_LEAST)
         before, over = self.valve, self.lateness / CALM - 1.0
         self.valve += VALVE_RISE * min(over, 1.0) if over > 0.0 else VALVE_FALL * over * beats
         self.valve = min(max(self.valve, 0.0), 0.95)
--- a/gaugehinge/terms.py
+++ b/gaugehinge/terms.py
@@ -120,6 +120,8 @@
     beyond_share: float
     payoff_by_work: bool
     weighted: bool = False  # the list tells how much each server bears beside the others
+    zone: str = ""  # where this router stands
+    cross_price: float = 0.0  # of a leg to another zone, in payoffs
 
 
 class Listing(NamedTuple):
