--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -489,7 +489,7 @@
                     continue
                 cache.walk = walk
                 passed += 1
-                if operation.beyond and passed == 1 and not self._has_spare_room(cache, now):
+                if operation.beyond and passed == 1 and self.elsewhere and not self._has_spare_room(cache, now):
                     return None
                 if self._may_take(cache, operation, key):
                     load = cache.load
