--- a/gaugehinge/charter.py
+++ b/gaugehinge/charter.py
@@ -170,6 +170,7 @@
         weighted=page.word("weights", WEIGHTS, "off"),
         zone=page.text("az", ""),
         cross_price=prices.number("crossZone", 0.0),
+        line_price=prices.number("handshake", 0.0) if allowed.count("maxStreams", 1, least=1) == 1 else 0.0,
     )
     return Charter(
         deployment,
--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -42,6 +42,7 @@
 LEAST_BOUND = 2.0  # below two in flight a bound would scatter the keys of a quiet router
 HOPS = 10  # caches looked at before the least loaded one is taken
 NEAR_PRICE = 0.05  # a crossing of zones at this price is dearer than the hits of one pool for all
+STARTS = 3  # where a new connection has a price, the walk may start at one of so many caches of a key
 MOST_PASSED = 12  # caches passed in all, with those that cannot take it: a full fleet is not searched whole
 BUCKET = 0.03  # the occupancy window is five of these
 BUCKETS = 5
@@ -207,6 +208,7 @@
     bucket: int = 0  # the newest, counted from the clock's zero
     busy: float = 0.0
     out: int = 0
+    lines: int = 0  # connections that this router has there, as far as legs show
     load: float = 0.0
     multiplier: float = 1.0
     late: float = 0.0  # smoothed part of the promised time that its legs take
@@ -315,6 +317,7 @@
         self.rate = Rate(now)  # of the legs that caches answered
         self.thin = False
         self.counter = self.walks = 0
+        self.starts = STARTS if deployment.line_price else 1
         self.salt = xxh64_intdigest(b"%d" % deployment.seed)
         self.repeats = 1.0  # further legs that may follow a time-out
         self.spare = max(SPARE_TICKS * deployment.tick, 0.005)
@@ -482,14 +485,14 @@
         if len(rings) > 1 and ((key * MIX) & MASK) / SCALE >= self.own.keep:
             rings = rings[1:]  # a crowded zone gives up keys, always the same ones
         for points in rings:
-            start = bisect_left(points, key)
+            start = self._start(points, key) if self.starts > 1 else bisect_left(points, key)
             for i in range(start - len(points), start):
                 cache = owners[points[i]]
                 if cache.walk == walk:
                     continue
                 cache.walk = walk
                 passed += 1
-                if operation.beyond and passed == 1 and self.elsewhere and not self._has_spare_room(cache, now):
+                if operation.beyond and passed == 1 and not self._has_spare_room(cache, now):
                     return None
                 if self._may_take(cache, operation, key):
                     load = cache.load
@@ -507,6 +510,31 @@
             most, hops = passed + most, 0
         return least or spare  # a joining cache within its budget, rather than none
 
+    def _start(self, points: list[int], key: int) -> int:
+        """Where the walk starts: at the first of the key's few starts that has an idle connection, else by draw.
+
+        A sparse router that asks each key's one home opens a connection for nearly each leg, and hundreds
+        of them crowd the home of a hot key before any has seen it over its bound.
+        """
+        place = bisect_left(points, key)
+        found: list[Cache] = []
+        places = []
+        for i in range(place - len(points), place):
+            cache = self.owners[points[i]]
+            if cache in found:
+                continue
+            found.append(cache)
+            places.append(i + len(points))
+            if len(found) >= self.starts:
+                break
+        draw = (((key ^ self.salt) * MIX) & MASK) >> 32
+        turn = draw % len(found)
+        for n in range(turn, turn + len(found)):
+            cache = found[n % len(found)]
+            if cache.lines > cache.out:
+                return places[n % len(found)]
+        return places[turn]
+
     def _stays(self, cache: Cache, key: int, now: float) -> bool:
         """Whether this router stays at a cache that tells of more than the bound.
 
@@ -585,6 +613,8 @@
 
     def _has_spare_room(self, cache: Cache, now: float) -> bool:
         """Whether what is beyond a share may go to its home cache."""
+        if not self.elsewhere:
+            return True  # untold by peers, a run of one tenant's at a sparse router is no proof of too much
         room = max(cache.pace.read(now) * SPARE_PART * self.shortest, SLOW_ROOM)
         return max(cache.late, self.lateness) <= SPARE_LATE and cache.out < room
 
@@ -711,6 +741,8 @@
         cache.out -= 1
         cache.near.out -= 1
         cache.quiet_since = now
+        if outcome not in ANSWERED:
+            cache.lines = max(cache.lines - 1, 0)  # what ends without an answer takes its connection along
         cache.slide(self.bucket)
         cache.buckets[self.bucket % BUCKETS] += elapsed
         cache.busy += elapsed
@@ -991,6 +1023,7 @@
         if not cache.out:
             cache.quiet_since = now
         cache.out += 1
+        cache.lines = max(cache.lines, cache.out)
         cache.near.out += 1
         if cache.ident not in self.active:
             self.active[cache.ident] = cache
