--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -42,7 +42,7 @@
 LEAST_BOUND = 2.0  # below two in flight a bound would scatter the keys of a quiet router
 HOPS = 10  # caches looked at before the least loaded one is taken
 NEAR_PRICE = 0.05  # a crossing of zones at this price is dearer than the hits of one pool for all
-STARTS = 3  # where a new connection has a price, the walk may start at one of so many caches of a key
+STARTS = 4  # where a new connection has a price, the walk may start at one of so many caches of a key
 MOST_PASSED = 12  # caches passed in all, with those that cannot take it: a full fleet is not searched whole
 BUCKET = 0.03  # the occupancy window is five of these
 BUCKETS = 5
@@ -511,7 +511,7 @@
         return least or spare  # a joining cache within its budget, rather than none
 
     def _start(self, points: list[int], key: int) -> int:
-        """Where the walk starts: at the first of the key's few starts that has an idle connection, else by draw.
+        """Where the walk starts: at one of the key's few starts with an idle connection, else by draw.
 
         A sparse router that asks each key's one home opens a connection for nearly each leg, and hundreds
         of them crowd the home of a hot key before any has seen it over its bound.
