--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -42,6 +42,7 @@
 LEAST_BOUND = 2.0  # below two in flight a bound would scatter the keys of a quiet router
 HOPS = 10  # caches looked at before the least loaded one is taken
 NEAR_PRICE = 0.05  # a crossing of zones at this price is dearer than the hits of one pool for all
+NEAR_POWER = 3  # of the quickest other zone's latency over the own one's: the part of its keys that this keeps
 STARTS = 4  # where a new connection has a price, the walk may start at one of so many caches of a key
 MOST_PASSED = 12  # caches passed in all, with those that cannot take it: a full fleet is not searched whole
 BUCKET = 0.03  # the occupancy window is five of these
@@ -765,7 +766,7 @@
         elif outcome in LOST:
             silent = now - cache.answered_at > DEAD_SILENCE
             self._blame(cache, LOST_STEP if silent else FLAKY_STEP, elapsed, now)
-        elif outcome is Outcome.TIMED_OUT and cache.answered_at > leg.sent:
+        elif outcome is Outcome.TIMED_OUT and cache.answered_at > min(leg.sent, now - DEAD_SILENCE):
             # It answers others: it is loaded, not at fault. Set aside, it would only load the next one.
             self._learn_latency(cache, elapsed / self.mean_delay if self.mean_delay else 1.0, now)
         elif outcome in FAULTS:
@@ -965,7 +966,7 @@
         if len(self.rings) > 1:
             others = [z.latency.beside(mean) for z in self.zones.values() if z is not self.own]
             away = min(others, default=mean) / self.own.latency.beside(mean)
-            self.own.keep = max(min(away ** KEEP_POWER, 1.0), KEEP_LEAST)
+            self.own.keep = max(min(away ** NEAR_POWER, 1.0), KEEP_LEAST)
         before, over = self.valve, self.lateness / CALM - 1.0
         self.valve += VALVE_RISE * min(over, 1.0) if over > 0.0 else VALVE_FALL * over * beats
         self.valve = min(max(self.valve, 0.0), 0.95)
