--- a/gaugehinge/charter.py
+++ b/gaugehinge/charter.py
@@ -146,6 +146,7 @@
     types, parties = page.pages("trafficTypes", []), page.pages("parties", [])
     shapes = page.row("shapes", [])
     kind = int(domain.number("originKind", -1, least=-1))
+    single = allowed.count("maxStreams", 2, least=1) == 1
     heeds = allowed.flag("retryAfter", False)
     deployment = Deployment(
         seed=seed,
@@ -170,7 +171,8 @@
         weighted=page.word("weights", WEIGHTS, "off"),
         zone=page.text("az", ""),
         cross_price=prices.number("crossZone", 0.0),
-        line_price=prices.number("handshake", 0.0) if allowed.count("maxStreams", 1, least=1) == 1 else 0.0,
+        one_a_line=single,
+        line_price=prices.number("handshake", 0.0) if single else 0.0,
     )
     return Charter(
         deployment,
--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -318,6 +318,9 @@
         self.rate = Rate(now)  # of the legs that caches answered
         self.thin = False
         self.counter = self.walks = 0
+        # A second leg at once opens a connection more, and what runs out of time takes it along: crowded so,
+        # caches had as much to do with connections as with legs.
+        self.least_room = SLOW_ROOM if deployment.one_a_line else LEAST_ROOM
         self.starts = STARTS if deployment.line_price else 1
         self.salt = xxh64_intdigest(b"%d" % deployment.seed)
         self.repeats = 1.0  # further legs that may follow a time-out
@@ -647,7 +650,7 @@
 
     def _is_full(self, cache: Cache, now: float) -> bool:
         # A queue shows in what is out against what comes back long before it shows in latencies.
-        least = LEAST_ROOM if cache.multiplier < SLOW and cache.late < CROWDED else SLOW_ROOM
+        least = self.least_room if cache.multiplier < SLOW and cache.late < CROWDED else SLOW_ROOM
         return cache.out >= least and cache.out >= cache.pace.read(now) * QUEUE_PART * self.shortest
 
     def _drops_repeats(self, cache: Cache, operation: Operation) -> bool:
--- a/gaugehinge/terms.py
+++ b/gaugehinge/terms.py
@@ -122,6 +122,7 @@
     weighted: bool = False  # the list tells how much each server bears beside the others
     zone: str = ""  # where this router stands
     cross_price: float = 0.0  # of a leg to another zone, in payoffs
+    one_a_line: bool = False  # a connection carries one leg at a time
     line_price: float = 0.0  # of a new connection, where it carries one leg at a time
 
 
