--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -10,7 +10,7 @@
 
 import struct
 import zlib
-from bisect import bisect_left, insort
+from bisect import bisect_left
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from math import exp, inf
@@ -99,7 +99,6 @@
 GATE_SLOW = 2.5  # smoothed latency over this times its floor means a queue at the origin,
 GATE_QUEUE = 0.3  # but not before it took this part of the shortest promised time: latencies vary by nature
 GATE_KEEP = 0.95  # of the smoothed latency, a finished leg
-MISS_MEMORY = 5.0  # for how long, to twice that, a key's misses are counted
 FLOOR_EPOCH = 15.0  # the latency floor is the least of the last two epochs
 
 # Overload
@@ -245,7 +244,7 @@
 
 @dataclass(slots=True)
 class Gate:
-    """The limit of this router's legs at the origin, and the operations that wait for a place."""
+    """The limit of this router's legs at the origin."""
 
     bearable: float
     least: float = GATE_LEAST
@@ -257,7 +256,6 @@
     next_floor: float = 0.0
     epoch: float = 0.0
     cut_after: float = 0.0
-    queue: list[tuple[float, int, Operation]] = field(default_factory=list)  # left on release or give-up
     tight: bool = False
 
     def learn(self, elapsed: float, failed: bool, used: bool, now: float) -> None:
@@ -297,9 +295,6 @@
         least = min(GATE_LEAST, GATE_SHARED / deployment.routers)
         self.gate = Gate(GATE_QUEUE * self.shortest, least, max(least, 1.0))
         self.fetches: dict[bytes, list[Operation]] = {}  # a key leaves when its fetch ends
-        self.missed: dict[bytes, int] = {}  # misses by key; moved on, then dropped, each MISS_MEMORY
-        self.missed_before: dict[bytes, int] = {}
-        self.next_memory = now
         self.points: list[int] = []
         self.rings: list[list[int]] = []  # walked one after the other: all, or the own zone before all
         self.owners: dict[int, Cache] = {}  # by point
@@ -360,11 +355,10 @@
             return self._admit(thing, now)
         if thing.lined is not None:
             return self._look_in_line(thing, now)
-        if thing.joined:
-            self._unjoin(thing)
-        elif not thing.queued:
+        if not thing.joined:
             # Freed before its wait was over: its leg is out, and asking again would send a second one.
             return NOTHING
+        self._unjoin(thing)
         return self._route(thing, now)
 
     def after(
@@ -390,10 +384,8 @@
             if outcome.may_have_run and operation.ran_at is None:
                 operation.ran_at, operation.ran_since = cache, leg.sent
             steps.append((operation, self._next(operation, leg, outcome, now)))
-        if cache.origin:
-            if not operation.write:
-                self._end_fetch(operation, outcome is Outcome.SETTLED, steps, now)
-            self._release(steps, now)
+        if cache.origin and not operation.write:
+            self._end_fetch(operation, outcome is Outcome.SETTLED, steps, now)
         elif cache.line:
             self._release_line(cache, steps, now)
         return steps
@@ -464,8 +456,6 @@
         operation.over = True
         if operation.joined:
             self._unjoin(operation)
-        if operation.queued:
-            self._leave_queue(operation)
         self._leave_line(operation)
         return [leg for leg in operation.legs if leg.out and self.deployment.may_cancel]
 
@@ -953,9 +943,6 @@
         self.last_beat = now
         self._fade(now, span)
         self._share_out(now, span)
-        if now >= self.next_memory:
-            self.next_memory = now + MISS_MEMORY
-            self.missed_before, self.missed = self.missed, {}
         if self.late_count:
             self.lateness = LATE_KEEP * self.lateness + (1 - LATE_KEEP) * self.late_sum / self.late_count
             self.late_sum, self.late_count = 0.0, 0
@@ -1056,7 +1043,6 @@
         """After a leg that did not settle its operation."""
         if outcome is Outcome.MISSED and not leg.server.origin:
             operation.wants_origin = True
-            self.missed[operation.key] = self.missed.get(operation.key, 0) + 1
             if len(operation.legs) >= self.deployment.most_legs:
                 return self._give_up(operation)  # no leg is left to end a wait with
             waiting = self.fetches.get(operation.key)
@@ -1097,40 +1083,16 @@
         return traffic.effect is Effect.IDEMPOTENT or (traffic.effect is Effect.DEDUPLICATED and remembered)
 
     def _ask_origin(self, operation: Operation, now: float) -> Answer:
-        """A place at the origin now, a place in the queue if it is likely to come in time, or none."""
+        """A place at the origin now, or none."""
         origin = self.origin
         gate = self.gate
         if origin is None or origin.presence is not Presence.UP:
             return self._give_up(operation)
         if operation.ran_at is not None and not self._drops_repeats(origin, operation):
             return self._give_up(operation)
-        if operation.queued:
-            # Past the point where it could come in time, more waiting only delays the bounce.
-            late = now + gate.smooth >= min(operation.prompt, operation.useful)
-            return self._give_up(operation) if late else WAIT
-        rank = self._rank(operation)
+        # Held for a place, operations came late and their keys fell out of the caches before they came back.
         room = gate.out < max(gate.limit, 1.0) and (operation.write or now >= gate.free_at)
-        if room and (not gate.queue or rank < gate.queue[0][0]):
-            return self._to_origin(operation, now)
-        if gate.limit < 1.0:
-            return self._give_up(operation)
-        ahead = bisect_left(gate.queue, (rank,))
-        wait = (ahead + 1) / gate.limit * gate.smooth + gate.smooth
-        if now + wait > min(operation.prompt, operation.useful):
-            return self._give_up(operation)
-        self._queue(operation, rank)
-        return WAIT
-
-    def _rank(self, operation: Operation) -> float:
-        """Writes first, then by payoff times the key's misses lately.
-
-        Behind a slow origin the keys that most ask for must come back first: fetched in turn with rare
-        ones they keep missing, and the misses keep the origin full.
-        """
-        if operation.write:
-            return -1e6 - operation.traffic.payoff
-        count = self.missed.get(operation.key, 0) + self.missed_before.get(operation.key, 0)
-        return -operation.traffic.payoff * count
+        return self._to_origin(operation, now) if room else self._give_up(operation)
 
     def _to_origin(self, operation: Operation, now: float) -> Answer:
         self.gate.out += 1
@@ -1183,48 +1145,12 @@
             waiting.remove(operation)
         operation.joined = False
 
-    def _leave_queue(self, operation: Operation) -> None:
-        """Out of the queue; one that waits for the same key takes over, or it would wait for nothing."""
-        gate = self.gate
-        gate.queue = [entry for entry in gate.queue if entry[2] is not operation]
-        operation.queued = False
-        if operation.write:
-            return
-        waiting = self.fetches.get(operation.key, [])
-        if not waiting:
-            self.fetches.pop(operation.key, None)
-            return
-        heir = waiting.pop(0)
-        heir.joined = False
-        self._queue(heir, self._rank(heir))
-
-    def _queue(self, operation: Operation, rank: float) -> None:
-        self.counter += 1
-        insort(self.gate.queue, (rank, self.counter, operation))
-        operation.queued = True
-        if not operation.write:
-            self.fetches.setdefault(operation.key, [])
-
-    def _release(self, steps: list[Step], now: float) -> None:
-        gate = self.gate
-        while gate.queue and gate.out < max(gate.limit, 1.0):
-            operation = gate.queue[0][2]
-            origin = self.origin
-            if origin is None or origin.presence is not Presence.UP or now >= operation.useful:
-                steps.append((operation, self._give_up(operation)))
-                continue
-            del gate.queue[0]
-            operation.queued = False
-            steps.append((operation, self._to_origin(operation, now)))
-
     # ---------------------------------------------------------------- giving up
 
     def _give_up(self, operation: Operation) -> Answer:
         """The final answer at once: a bounce where a repeat by the client does no harm, else a forfeit."""
         operation.over = True
         self._leave_line(operation)
-        if operation.queued:
-            self._leave_queue(operation)  # left in, it would be sent on after its final answer
         traffic = operation.traffic
         if operation.ran_at is not None and (
             traffic.effect is Effect.UNREPEATABLE
--- a/gaugehinge/terms.py
+++ b/gaugehinge/terms.py
@@ -160,7 +160,6 @@
     asked: float = 0.0  # when the walk was last asked
     turned: int = 0  # caches that turned it away
     wants_origin: bool = False
-    queued: bool = False
     joined: bool = False
     among: tuple[int, ...] | None = None  # the only servers that may serve its key, the owner first
     lined: object = None  # the server at which it waits for room
