--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -66,7 +66,6 @@
 TOLD_FADE = 10.0  # seconds without a further one: late reports steer nobody for long
 
 # Cold caches
-THIN_SHARE = 0.7  # with less than this part of the fleet's share at work, fading caches are lifted
 COLD_FLOOR = 2.5  # legs a second that all routers together try at a cold cache, however little they see
 COLD_PART = 0.5  # of the multiple of its capacity that is stated to push a cold cache over
 RATE_MEMORY = 1.0  # seconds, for the rates of answered legs
@@ -220,7 +219,6 @@
     walk: int = 0  # the last walk that came past
     trial: int = 0  # settled legs still wanted, one at a time
     share: float = 1.0  # of its keys, while it fades in
-    capacity: float = 1.0  # the least it is stated to have by now
     tokens: float = 1.0
     line: list[Operation] = field(default_factory=list)  # left on release, give-up, or a look
 
@@ -311,7 +309,6 @@
         self.next_bucket = now
         self.bucket = 0
         self.rate = Rate(now)  # of the legs that caches answered
-        self.thin = False
         self.counter = self.walks = 0
         # A second leg at once opens a connection more, and what runs out of time takes it along: crowded so,
         # caches had as much to do with connections as with legs.
@@ -699,34 +696,19 @@
         if not self.fading:
             return
         width = self.size - sum(c.weight for c in self.fading)
+        fair = self.rate.read(now) / self.size
         for cache in self.fading:
             age = max(now - cache.started, 0.0)
             cache.share = min(age / self.fade, 1.0) ** FADE_CURVE
-            warm = min(age / terms.cold_time, 1.0) if terms.cold_time else 1.0
-            cache.capacity = terms.cold_from + (1.0 - terms.cold_from) * warm
             width += cache.share * cache.weight
-        self.fading = fading = [c for c in self.fading if c.share < 1.0]
-        fair = self.rate.read(now) / self.size
-        wanted = THIN_SHARE * self.size
-        lift = 0.0
-        if width < wanted and fading:
-            # Most of the fleet joins at once: the few others would drown, so the joining ones take
-            # up to what they are stated to bear.
-            room = sum(max(c.capacity - c.share, 0.0) * c.weight for c in fading)
-            lift = min((wanted - width) / room, 1.0) if room else 0.0
-        for cache in fading:
-            raised = lift * max(cache.capacity - cache.share, 0.0)
-            cache.share += raised
-            width += raised * cache.weight
-            most = max(1.0, fair * cache.weight * cache.capacity * terms.fall_time * 0.5)
+            warm = min(age / terms.cold_time, 1.0) if terms.cold_time else 1.0
+            capacity = terms.cold_from + (1.0 - terms.cold_from) * warm
             # A floor for each router, or a first token, pushes a cold cache over where there are hundreds.
-            least = max(fair * cache.weight, COLD_FLOOR / terms.routers) * cache.capacity
-            refill = least * COLD_PART * terms.fall_multiple
-            cache.tokens = min(cache.tokens + refill * span, most)
+            least = max(fair * cache.weight, COLD_FLOOR / terms.routers) * capacity
+            most = max(1.0, fair * cache.weight * capacity * terms.fall_time * 0.5)
+            cache.tokens = min(cache.tokens + least * COLD_PART * terms.fall_multiple * span, most)
+        self.fading = [c for c in self.fading if c.share < 1.0]
         self.width = max(width, 0.01)
-        if self.thin is not (lift > 0.0):
-            self.thin = lift > 0.0
-            self.log.append(f"fleet {'thin' if lift else 'whole'}: share {width:.1f} of {self.size:.1f}")
 
     # ---------------------------------------------------------------- set-aside
 
@@ -1092,13 +1074,12 @@
             return self._give_up(operation)
         # Held for a place, operations came late and their keys fell out of the caches before they came back.
         room = gate.out < max(gate.limit, 1.0) and (operation.write or now >= gate.free_at)
-        return self._to_origin(operation, now) if room else self._give_up(operation)
-
-    def _to_origin(self, operation: Operation, now: float) -> Answer:
-        self.gate.out += 1
+        if not room:
+            return self._give_up(operation)
+        gate.out += 1
         if not operation.write:
             self.fetches.setdefault(operation.key, [])
-        return self._send(operation, self.origin, operation.useful - now, now)
+        return self._send(operation, origin, operation.useful - now, now)
 
     def _learn_origin(self, leg: Leg, outcome: Outcome, elapsed: float, now: float) -> None:
         gate = self.gate
