--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -502,29 +502,20 @@
         return least or spare  # a joining cache within its budget, rather than none
 
     def _start(self, points: list[int], key: int) -> int:
-        """Where the walk starts: at one of the key's few starts with an idle connection, else by draw.
+        """Where the walk starts: of the key's few starts one with an idle connection, that tells of least.
 
         A sparse router that asks each key's one home opens a connection for nearly each leg, and hundreds
         of them crowd the home of a hot key before any has seen it over its bound.
         """
         place = bisect_left(points, key)
-        found: list[Cache] = []
-        places = []
+        found: dict[Cache, int] = {}
         for i in range(place - len(points), place):
-            cache = self.owners[points[i]]
-            if cache in found:
-                continue
-            found.append(cache)
-            places.append(i + len(points))
+            found.setdefault(self.owners[points[i]], i + len(points))
             if len(found) >= self.starts:
                 break
-        draw = (((key ^ self.salt) * MIX) & MASK) >> 32
-        turn = draw % len(found)
-        for n in range(turn, turn + len(found)):
-            cache = found[n % len(found)]
-            if cache.lines > cache.out:
-                return places[n % len(found)]
-        return places[turn]
+        draw = (((key ^ self.salt) * MIX) & MASK) >> 32  # the same ones for this key at this router
+        turns = [(n - draw) % len(found) for n in range(len(found))]
+        return min(zip([(c.lines <= c.out, c.told) for c in found], turns, found.values(), strict=True))[-1]
 
     def _stays(self, cache: Cache, key: int, now: float) -> bool:
         """Whether this router stays at a cache that tells of more than the bound.
