--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -44,6 +44,7 @@
 NEAR_PRICE = 0.05  # a crossing of zones at this price is dearer than the hits of one pool for all
 NEAR_POWER = 3  # of the quickest other zone's latency over the own one's: the part of its keys it keeps
 STARTS = 4  # where a new connection has a price, the walk may start at one of so many caches of a key
+PRESSED = 5.0  # seconds after a bounce for want of a place at the origin: spread keys miss more
 MOST_PASSED = 12  # caches passed in all, with those that cannot take it: a full fleet is not searched whole
 BUCKET = 0.03  # the occupancy window is five of these
 BUCKETS = 5
@@ -313,6 +314,7 @@
         # A second leg at once opens a connection more, and what runs out of time takes it along: crowded so,
         # caches had as much to do with connections as with legs.
         self.least_room = SLOW_ROOM if deployment.one_a_line else LEAST_ROOM
+        self.pressed_until = 0.0
         self.starts = STARTS if deployment.line_price else 1
         self.salt = xxh64_intdigest(b"%d" % deployment.seed)
         self.repeats = 1.0  # further legs that may follow a time-out
@@ -476,7 +478,8 @@
         if len(rings) > 1 and ((key * MIX) & MASK) / SCALE >= self.own.keep:
             rings = rings[1:]  # a crowded zone gives up keys, always the same ones
         for points in rings:
-            start = self._start(points, key) if self.starts > 1 else bisect_left(points, key)
+            few = self.starts > 1 and now >= self.pressed_until
+            start = self._start(points, key) if few else bisect_left(points, key)
             for i in range(start - len(points), start):
                 cache = owners[points[i]]
                 if cache.walk == walk:
@@ -1066,6 +1069,7 @@
         # Held for a place, operations came late and their keys fell out of the caches before they came back.
         room = gate.out < max(gate.limit, 1.0) and (operation.write or now >= gate.free_at)
         if not room:
+            self.pressed_until = now + PRESSED
             return self._give_up(operation)
         gate.out += 1
         if not operation.write:
