--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -300,7 +300,7 @@
         self.moved: list[Cache] = []  # emptied when the ring has followed the list
         self.fading: list[Cache] = []
         self.next_return = inf
-        self.ready: list[Cache] = []  # up and not aside, in ring order of ids
+        self.ready: list[Cache] = []  # up and not aside
         self.total = 0.0
         self.width = 1.0  # sum of the ready shares, by weight
         self.size = 1.0  # sum of the ready weights
@@ -311,8 +311,7 @@
         self.bucket = 0
         self.rate = Rate(now)  # of the legs that caches answered
         self.counter = self.walks = 0
-        # A second leg at once opens a connection more, and what runs out of time takes it along: crowded so,
-        # caches had as much to do with connections as with legs.
+        # A second leg opens a connection more, and its time-out costs that: caches were crowded with them.
         self.least_room = SLOW_ROOM if deployment.one_a_line else LEAST_ROOM
         self.pressed_until = 0.0
         self.starts = STARTS if deployment.line_price else 1
@@ -495,9 +494,7 @@
                     hops += 1
                     if least is None or load < least.load:
                         least = cache
-                elif cache.share < 1.0 and (spare is None or cache.load < spare.load) and (
-                    self._may_join(cache, operation)
-                ):
+                elif cache.share < 1.0 and spare is None and self._may_join(cache, operation):
                     spare = cache
                 if passed >= most or hops >= HOPS:
                     break
@@ -876,8 +873,7 @@
         self._fade(now, 0.0)
 
     def _choose_ready(self) -> None:
-        up = [c for c in self.caches.values() if c.presence is Presence.UP and not c.aside_until]
-        self.ready = sorted(up, key=lambda cache: cache.ident)
+        self.ready = [c for c in self.caches.values() if c.presence is Presence.UP and not c.aside_until]
         self.fading = [c for c in self.ready if c.share < 1.0]
         self.total = sum(c.load * c.weight for c in self.ready)
         self.size = sum(c.weight for c in self.ready)
@@ -1060,11 +1056,9 @@
 
     def _ask_origin(self, operation: Operation, now: float) -> Answer:
         """A place at the origin now, or none."""
-        origin = self.origin
-        gate = self.gate
-        if origin is None or origin.presence is not Presence.UP:
-            return self._give_up(operation)
-        if operation.ran_at is not None and not self._drops_repeats(origin, operation):
+        origin, gate = self.origin, self.gate
+        up = origin is not None and origin.presence is Presence.UP
+        if not up or (operation.ran_at is not None and not self._drops_repeats(origin, operation)):
             return self._give_up(operation)
         # Held for a place, operations came late and their keys fell out of the caches before they came back.
         room = gate.out < max(gate.limit, 1.0) and (operation.write or now >= gate.free_at)
