--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -83,7 +83,6 @@
 ZONE_LOST = 3  # caches of a zone that failed with none of it answering since: one leg at a time goes there
 MOST_DEAD = 0.75  # but this part where the cache answered nothing lately: a lost zone bears no load anyway
 DEAD_SILENCE = 0.5  # seconds without an answer, with failures, that make it so
-TRIAL_WINS = 3  # settled legs, one at a time, before a returned cache counts as sound
 
 FULL_PAUSE = 0.1  # a cache that turned a leg away is passed for about this: some of its queue drains
 MOST_TURNED = 2  # caches that may turn one operation away before it is bounced
@@ -99,6 +98,7 @@
 GATE_SLOW = 2.5  # smoothed latency over this times its floor means a queue at the origin,
 GATE_QUEUE = 0.3  # but not before it took this part of the shortest promised time: latencies vary by nature
 GATE_KEEP = 0.95  # of the smoothed latency, a finished leg
+ORIGIN_REST = 0.2  # about, between reads sent to an origin that answers nothing and refuses connections
 FLOOR_EPOCH = 15.0  # the latency floor is the least of the last two epochs
 
 # Overload
@@ -218,7 +218,6 @@
     aside_until: float = 0.0
     full_until: float = 0.0
     walk: int = 0  # the last walk that came past
-    trial: int = 0  # settled legs still wanted, one at a time
     share: float = 1.0  # of its keys, while it fades in
     tokens: float = 1.0
     line: list[Operation] = field(default_factory=list)  # left on release, give-up, or a look
@@ -313,13 +312,12 @@
         self.counter = self.walks = 0
         # A second leg opens a connection more, and its time-out costs that: caches were crowded with them.
         self.least_room = SLOW_ROOM if deployment.one_a_line else LEAST_ROOM
-        self.pressed_until = 0.0
         self.starts = STARTS if deployment.line_price else 1
         self.salt = xxh64_intdigest(b"%d" % deployment.seed)
         self.repeats = 1.0  # further legs that may follow a time-out
         self.spare = max(SPARE_TICKS * deployment.tick, 0.005)
         self.last_beat = now
-        self.valve = self.lateness = 0.0
+        self.valve = self.lateness = self.pressed_until = 0.0
         self.late_sum, self.late_count = 0.0, 0
         self.excused = 0.0  # time-outs that will not count as lateness
         rows = len(deployment.traffic_types)
@@ -570,7 +568,7 @@
 
     @staticmethod
     def _may_line_up(cache: Cache, operation: Operation) -> bool:
-        sound = cache.presence is Presence.UP and not (cache.aside_until or cache.trial)
+        sound = cache.presence is Presence.UP and not cache.aside_until
         budget = cache.share >= 1.0 or cache.tokens >= 1.0  # a cold cache's is not waited for
         return sound and budget and not operation.beyond and cache not in operation.tried
 
@@ -608,7 +606,7 @@
 
     def _may_take(self, cache: Cache, operation: Operation, key: int) -> bool:
         """Whether this cache is there for this key at all, whatever its load."""
-        if cache.aside_until or cache in operation.tried or (cache.trial and cache.out):
+        if cache.aside_until or cache in operation.tried:
             return False
         # Learnt cache by cache, a lost zone costs a sparse router its time-outs as often as it has caches.
         if cache.near.out and len(cache.near.failed) >= ZONE_LOST and len(self.zones) > 1:
@@ -768,12 +766,11 @@
         self.repeats = min(self.repeats + REPEAT_PART, REPEAT_MOST)
         self.excused = min(self.excused + EXCUSED_EACH, EXCUSED_MOST)
         cache.fault *= FAULT_EASE
-        cache.trial = max(cache.trial - 1, 0)
 
     def _blame(self, cache: Cache, step: float, elapsed: float, now: float) -> None:
         self._learn_latency(cache, max(elapsed / self.mean_delay, 1.0) if self.mean_delay else 1.0, now)
         cache.fault += step * (1.0 - cache.fault)
-        if cache.aside_until or (cache.fault < FAULT_LIMIT and not cache.trial):
+        if cache.aside_until or cache.fault < FAULT_LIMIT:
             return
         aside = sum(1 for c in self.caches.values() if c.aside_until)
         # With a zone lost, legs would go on to the dead ones above the cap and fail one by one.
@@ -790,9 +787,9 @@
         for cache in back:
             cache.aside_until = 0.0
             cache.fault = FAULT_LIMIT / 2
-            cache.trial = TRIAL_WINS
+            cache.late = CROWDED  # one leg, and more as it answers in time
             cache.latency = Latency(now)
-            self.log.append(f"cache {cache.ident} back on trial")
+            self.log.append(f"cache {cache.ident} back")
         self.next_return = min((c.aside_until for c in self.caches.values() if c.aside_until), default=inf)
         if back:
             self._choose_ready()
@@ -846,9 +843,7 @@
         if not self.moved:
             return
         gone, new = set(), []
-        for cache in self.moved:
-            if cache.origin:
-                continue
+        for cache in [c for c in self.moved if not c.origin]:
             count = max(int(POINTS * cache.weight), 1)
             points = [xxh64_intdigest(b"%d-%d" % (cache.ident, i)) for i in range(count)]
             if self.caches.get(cache.ident) is not cache or cache.presence is not Presence.UP:
@@ -1080,13 +1075,18 @@
         if lone or outcome in (Outcome.CALLED_OFF, Outcome.NEVER_SENT):
             return
         before = gate.limit
+        if outcome in LOST:
+            # Refused at once, legs tell nothing of its time; dead, it was asked thousands of times a second.
+            elapsed = max(elapsed, gate.smooth)
+            if now - leg.server.answered_at > DEAD_SILENCE:
+                gate.free_at = now + ORIGIN_REST * (0.5 + self._chance())
         # Spoilt answers and resets show no queue: cut for each, the limit sank and reads waited in vain.
         gate.learn(elapsed, outcome not in NO_QUEUE, gate.out + 1 >= 0.5 * gate.limit, now)
         tight = gate.limit < before or (gate.tight and gate.limit < 2 * gate.least)
         if tight != gate.tight:
             gate.tight = tight
-            mode = "tight" if tight else "easy"
-            self.log.append(f"origin {mode}: limit {gate.limit:.1f}, {gate.smooth:.3f}/{gate.floor:.3f} s")
+            text = f"limit {gate.limit:.1f}, {gate.smooth:.3f}/{gate.floor:.3f} s"
+            self.log.append(f"origin {'tight' if tight else 'easy'}: {text}")
 
     def _end_fetch(self, operation: Operation, stored: bool, steps: list[Step], now: float) -> None:
         """The fetch for a key ended: those that waited go to the cache that now holds it.
