--- a/gaugehinge/installation/build.py
+++ b/gaugehinge/installation/build.py
@@ -53,6 +53,11 @@
         longest_come_back=float(limits.come_back),
         beyond_share=rules.beyond_share,
         payoff_by_work=rules.payoff_by_work,
+        weighted=rules.weights,
+        zone=tier.zone,
+        cross_price=rules.crossing_price,
+        one_a_line=rules.one_leg_a_connection,
+        line_price=rules.connection_price if rules.one_leg_a_connection else 0.0,
     )
     return Charter(
         deployment,
@@ -63,6 +68,7 @@
         float(limits.idle_time),
         limits.in_hand,
         max(float(entry.abandon_time) for entry in told.traffic),
+        frozenset(("active", "rps") if rules.reports else ()),
     )
 
 
--- a/gaugehinge/installation/form.py
+++ b/gaugehinge/installation/form.py
@@ -56,6 +56,7 @@
     routers: Annotated[int, Meta(description="how many there are", ge=1, le=100_000)] = 1
     listen: Annotated[str, Meta(description="address for their datagrams; empty: none are heard")] = ""
     peers: Annotated[tuple[str, ...], Meta(description="their addresses in the order of their numbers")] = ()
+    zone: Annotated[str, Meta(description="the zone that this router stands in, as `az` in the list")] = ""
 
     def __post_init__(self) -> None:
         if self.me >= self.routers:
@@ -123,6 +124,21 @@
     payoff_by_work: Annotated[bool, Meta(description="payoffs count for the work, not each operation")] = (
         False
     )
+    weights: Annotated[
+        bool, Meta(description="the list's `capacity_hint` tells what each server bears beside the others")
+    ] = False
+    reports: Annotated[
+        bool, Meta(description="answers hold `active` and `rps`, what the server holds and answers a second")
+    ] = False
+    connection_price: Annotated[
+        float, Meta(description="of a new connection, in payoffs; over 0, walks prefer idle ones", ge=0)
+    ] = 0.0
+    crossing_price: Annotated[
+        float, Meta(description="of a leg to another zone; from 0.05, walks start in `tier.zone`", ge=0)
+    ] = 0.0
+    one_leg_a_connection: Annotated[
+        bool, Meta(description="servers take one operation at a time on a connection")
+    ] = False
 
     def __post_init__(self) -> None:
         above("tick", self.tick)
--- a/tests/test_forms.py
+++ b/tests/test_forms.py
@@ -11,7 +11,7 @@
 from gaugehinge.charter import BadCharter, charter, parse
 from gaugehinge.forms import reference, toml, units
 from gaugehinge.forms.record import BadRecord, Recorder, rows
-from gaugehinge.installation.build import berth_of, charter_of
+from gaugehinge.installation.build import berth_of, charter_of, read_installation
 from gaugehinge.installation.form import REFERENCE, Installation
 from gaugehinge.net.bulletin import Bulletin, read_bulletin
 from gaugehinge.net.resp import Malformed, Parser
@@ -337,3 +337,19 @@
         toml.parse("\n".join(lines).encode("utf-8", "replace"), form, "f")
     except toml.BadFile as bad:
         assert "\n" not in str(bad)
+
+
+def test_an_installation_tells_of_the_new_shape_and_says_nothing_of_it_by_itself(tmp_path):
+    path = tmp_path / "one.toml"
+    before, after = (ROOT / "example" / "installation.toml").read_text().split("[rules]\n")
+    path.write_text(f"{before}[rules]\n{after}")
+    plain = charter_of(read_installation(path)).deployment
+    assert not plain.weighted and not plain.one_a_line and plain.line_price == plain.cross_price == 0.0
+    told = "weights = true\nreports = true\nconnection_price = 0.1\ncrossing_price = 0.2\n"
+    path.write_text(f"{before}[rules]\n{told}one_leg_a_connection = true\n{after}")
+    made = charter_of(read_installation(path))
+    assert made.deployment.weighted and made.deployment.one_a_line and made.gauges == {"active", "rps"}
+    assert (made.deployment.line_price, made.deployment.cross_price) == (0.1, 0.2)
+    path.write_text(f"{before}[rules]\nconnection_price = -1.0\n{after}")
+    with pytest.raises(toml.BadFile, match="rules.connection_price"):
+        read_installation(path)
