--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -11,7 +11,6 @@
 import struct
 import zlib
 from bisect import bisect_left
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from math import exp, inf
 
@@ -52,6 +51,7 @@
 LATENCY_KEEP = 0.98  # a bucket: some seconds of legs make a mean,
 LEGS_KEEP = 0.9  # but a leg leaves at least this: a sparse router sees a cache once in many seconds,
 ALIKE_KEEP = 0.95  # and its like somewhat more often
+ALIKE_FADE = 0.997  # a bucket, of labels and zones: by a second's uneven legs, kept shares fluttered
 PRIOR = 2.0  # legs at the mean of its like that each cache is credited with: few legs say little
 STUCK_MEANS = 4.0  # silent for so many mean latencies with legs out: stuck, not quiet
 STUCK_LEAST = 0.1  # and never judged stuck before this
@@ -156,12 +156,13 @@
 
     at: float
     legs: float = LEGS_KEEP
+    fade: float = LATENCY_KEEP
     delay: float = 0.0
     finished: float = 0.0
     keep: float = 1.0  # of a label in the list: the part of their keys that its caches keep
 
     def add(self, delay: float, now: float) -> None:
-        keep = max(LATENCY_KEEP ** ((now - self.at) / BUCKET), self.legs)
+        keep = max(self.fade ** ((now - self.at) / BUCKET), self.legs)
         self.delay = self.delay * keep + delay
         self.finished = self.finished * keep + 1.0
         self.at = now
@@ -283,7 +284,7 @@
         self.caches: dict[int, Cache] = {}  # follows the list
         self.active: dict[int, Cache] = {}  # with a leg out or in the window; the others have no load
         self.zones: dict[str, Zone] = {}  # as many as in the lists so far
-        self.own = Zone(Latency(now, ALIKE_KEEP))
+        self.own = Zone(Latency(now, ALIKE_KEEP, ALIKE_FADE))
         self.kinds: dict[str, Latency] = {}  # as many as labels in the list
         self.usual_weight = 0.0  # of the first list that told weights; only their ratios mean something
         self.origin: Cache | None = None
@@ -306,8 +307,7 @@
         self.told = 0.0  # mean of what caches tell that they hold
         self.mean_delay = 0.0
         self.latency = Latency(now, ALIKE_KEEP)  # of all caches
-        self.next_bucket = now
-        self.bucket = 0
+        self.next_bucket, self.bucket = now, 0
         self.rate = Rate(now)  # of the legs that caches answered
         self.counter = self.walks = 0
         # A second leg opens a connection more, and its time-out costs that: caches were crowded with them.
@@ -396,13 +396,12 @@
 
     # ---------------------------------------------------------------- notices
 
-    def hear_list(self, listings: Iterable[Listing], whole: bool, held: bool, now: float) -> None:
+    def hear_list(self, listings: list[Listing], whole: bool, held: bool, now: float) -> None:
         """The list or its changes; `held` is the one that this router kept over its restart."""
         if not held:
             self.list_heard = True
             self.list_failures = 0
         named = set()
-        listings = list(listings)
         if self.deployment.weighted and not self.usual_weight:
             told = sorted(each.weight for each in listings if each.weight > 0.0)
             self.usual_weight = told[len(told) // 2] if told else 0.0
@@ -810,10 +809,10 @@
         if known is None or listing.started > known.started:
             if known is not None:
                 self._remove(known)
-            kind = self.kinds.setdefault(listing.kind, Latency(now, ALIKE_KEEP))
-            near = self.own if listing.zone == self.deployment.zone else Zone(Latency(now, ALIKE_KEEP))
-            if not origin:
-                near = self.zones.setdefault(listing.zone, near)
+            kind = self.kinds.setdefault(listing.kind, Latency(now, ALIKE_KEEP, ALIKE_FADE))
+            own = listing.zone == self.deployment.zone
+            near = self.own if own else Zone(Latency(now, ALIKE_KEEP, ALIKE_FADE))
+            near = near if origin else self.zones.setdefault(listing.zone, near)
             known = Cache(
                 listing.ident, listing.zone, near, listing.cell, listing.started, listing.presence, origin,
                 kind, Latency(now), Rate(now), now, now, xxh64_intdigest(b"fade-%d" % listing.ident),
@@ -918,8 +917,9 @@
         # A sparse router has seen few caches of a slow kind when all of them are already overrun.
         mean = self.latency.beside(1.0)
         quickest = min((kind.beside(mean) for kind in self.kinds.values() if kind.finished), default=mean)
+        power = 1 if self.usual_weight else KEEP_POWER  # weights hold part of it already
         for kind in self.kinds.values():
-            kind.keep = max((quickest / kind.beside(mean)) ** KEEP_POWER, KEEP_LEAST)
+            kind.keep = max((quickest / kind.beside(mean)) ** power, KEEP_LEAST)
         if len(self.rings) > 1:
             others = [z.latency.beside(mean) for z in self.zones.values() if z is not self.own]
             away = min(others, default=mean) / self.own.latency.beside(mean)
