--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -873,3 +873,19 @@
         if answer.leg is not None:
             bench.end(answer.leg, Outcome.SETTLED, 0.02)
         assert not leg.server.aside_until
+
+
+def test_where_weights_tell_a_slow_label_keeps_the_plain_ratio_and_does_not_flutter():
+    """Over a second of uneven legs kept shares went from 0.5 to 1.0 at each router, and keys left home."""
+    bench = Bench(caches=0, weighted=True)
+    listed = [row(i, kind="old" if i % 2 else "new", weight=1.0) for i in range(1, 41)]
+    bench.hear([*listed, origin_row()])
+    found = []
+    for i in range(900):
+        bench.now += 0.02
+        _, answer = bench.ask(f"key-{i}")
+        base = 0.04 if answer.leg.server.ident % 2 else 0.02
+        bench.end(answer.leg, Outcome.SETTLED, (0.1 if i % 10 else 9.1) * base)  # uneven work
+        if i > 600:
+            found.append(bench.router.kinds["old"].keep)
+    assert min(found) > 0.45 and max(found) - min(found) < 0.45  # the square would be 0.25
