--- a/gaugehinge/charter.py
+++ b/gaugehinge/charter.py
@@ -10,7 +10,7 @@
 from math import inf, isfinite
 from typing import Any
 
-from .terms import Deployment, Effect, Group, Report, Tenant, TrafficType
+from .terms import Deployment, Effect, Group, Tenant, TrafficType
 
 EFFECTS = {"repeatable": Effect.IDEMPOTENT, "by_key": Effect.DEDUPLICATED, "once": Effect.UNREPEATABLE}
 GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
@@ -97,13 +97,9 @@
         return [Page(value, f"{path}[{i}]") for i, value in enumerate(self.row(name, default))]
 
 
-def read_report(text: str, mark: str, names: frozenset[str]) -> Report | None:
-    """A load report, names and values set apart by `mark`; whatever is missing or garbled counts as none."""
-    told = dict(part.split(mark, 1) for part in text.split(",") if mark in part)
-    held = figure(told.get("active", "")) if "active" in names else None
-    if held is None:
-        return None
-    return Report(held, figure(told.get("rps", "")) or 0.0 if "rps" in names else 0.0)
+def read_held(text: str, mark: str) -> float | None:
+    """What a server holds, of its load report, names and values set apart by `mark`; garbled is none."""
+    return figure(dict(part.split(mark, 1) for part in text.split(",") if mark in part).get("active", ""))
 
 
 def figure(text: str) -> float | None:
@@ -126,7 +122,7 @@
     idle_time: float  # a server closes what stood idle for this long
     most_open: int  # operations in hand
     longest_wait: float  # of a client for an answer
-    gauges: frozenset[str] = frozenset()  # what load reports with answers hold; empty where none come
+    tells_held: bool = False  # whether answers tell what their server holds
 
 
 def _traffic_type(row: int, page: Page) -> TrafficType:
@@ -145,13 +141,10 @@
     """Read the settings object."""
     page = Page(settings, path)
     allowed, rules, domain = page.page("allowed", {}), page.page("rules", {}), page.page("domain", {})
-    report = page.page("report", {})
-    prices = page.page("prices", {})
+    report, prices = page.page("report", {}), page.page("prices", {})
     types, parties = page.pages("trafficTypes", []), page.pages("parties", [])
     shapes, names = page.row("shapes", []), report.texts("names", [])
     kind = int(domain.number("originKind", -1, least=-1))
-    single = allowed.count("maxStreams", 2, least=1) == 1
-    line_price = prices.number("handshake", 0.0)
     heeds = allowed.flag("retryAfter", False)
     deployment = Deployment(
         seed=seed,
@@ -176,8 +169,8 @@
         weighted=page.word("weights", WEIGHTS, "off"),
         zone=page.text("az", ""),
         cross_price=prices.number("crossZone", 0.0),
-        one_a_line=single,
-        line_price=line_price if single else 0.0,
+        one_a_line=allowed.count("maxStreams", 2, least=1) == 1,
+        line_price=prices.number("handshake", 0.0),
     )
     return Charter(
         deployment,
@@ -187,7 +180,7 @@
         allowed.seconds("connIdleUs", 10_000_000),
         allowed.count("openCap", 20_000, least=1),
         max((entry.seconds("abandonTimeUs", 3_000_000) for entry in types), default=3.0),
-        frozenset(names if report.word("source", SOURCES, "off") else ()),
+        report.word("source", SOURCES, "off") and "active" in names,
     )
 
 
--- a/gaugehinge/installation/build.py
+++ b/gaugehinge/installation/build.py
@@ -57,7 +57,7 @@
         zone=tier.zone,
         cross_price=rules.crossing_price,
         one_a_line=rules.one_leg_a_connection,
-        line_price=rules.connection_price if rules.one_leg_a_connection else 0.0,
+        line_price=rules.connection_price,
     )
     return Charter(
         deployment,
@@ -68,7 +68,7 @@
         float(limits.idle_time),
         limits.in_hand,
         max(float(entry.abandon_time) for entry in told.traffic),
-        frozenset(("active", "rps") if rules.reports else ()),
+        rules.reports,
     )
 
 
--- a/gaugehinge/installation/form.py
+++ b/gaugehinge/installation/form.py
@@ -128,7 +128,7 @@
         bool, Meta(description="the list's `capacity_hint` tells what each server bears beside the others")
     ] = False
     reports: Annotated[
-        bool, Meta(description="answers hold `active` and `rps`, what the server holds and answers a second")
+        bool, Meta(description="answers hold `active`, the operations that the server holds")
     ] = False
     connection_price: Annotated[
         float, Meta(description="of a new connection, in payoffs; over 0, walks prefer idle ones", ge=0)
--- a/gaugehinge/net/dispatch.py
+++ b/gaugehinge/net/dispatch.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from ..charter import read_report
+from ..charter import read_held
 from ..policy import Router
 from ..terms import Answer, Deployment, Errand, Leg, Operation, Outcome, Verdict
 from .deadlines import Deadlines, Due
@@ -41,10 +41,8 @@
 class Dispatch:
     """Operations in hand, by slot, and the calls on the module."""
 
-    def __init__(
-        self, deployment: Deployment, deadlines: Deadlines, gauges: frozenset[str] = frozenset(),
-    ) -> None:
-        self.gauges = gauges  # what load reports hold
+    def __init__(self, deployment: Deployment, deadlines: Deadlines, tells_held: bool = False) -> None:
+        self.tells_held = tells_held  # whether answers tell what their server holds
         self.deadlines = deadlines
         self.clock = deadlines.clock
         self.router = Router(deployment, self.clock())
@@ -98,8 +96,8 @@
         if exchange is not None and outcome is Outcome.SETTLED and not leg.operation.over:
             self._answer(exchange, value)
         try:
-            report = read_report(told.decode("latin-1"), "=", self.gauges) if self.gauges and told else None
-            steps = self.router.after(leg, outcome, elapsed, over, self.clock(), report)
+            held = read_held(told.decode("latin-1"), "=") if self.tells_held else None
+            steps = self.router.after(leg, outcome, elapsed, over, self.clock(), held)
         except Exception:
             logger.exception("a leg's outcome failed in the decisions")
             leg.out = False
--- a/gaugehinge/net/service.py
+++ b/gaugehinge/net/service.py
@@ -56,7 +56,7 @@
         self.course = Course()
         self.clock = Clock()
         self.deadlines = Deadlines(self.clock)
-        self.dispatch = Dispatch(berth.charter.deployment, self.deadlines, berth.charter.gauges)
+        self.dispatch = Dispatch(berth.charter.deployment, self.deadlines, berth.charter.tells_held)
         self.clients: Clients
         self.pool: Pool
         self.discovery: Discovery
--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -28,7 +28,6 @@
     Outcome,
     Presence,
     Purpose,
-    Report,
     Step,
     Tenant,
     Verdict,
@@ -147,6 +146,7 @@
 FAULTS = (Outcome.ERRORED, Outcome.SPOILT, Outcome.TIMED_OUT, Outcome.UNKNOWN)
 REDIRECTED = (Outcome.MOVED, Outcome.ASKED)
 ANSWERED = (Outcome.SETTLED, Outcome.MISSED, Outcome.SPOILT)
+CUT = (*LOST, Outcome.SPOILT, Outcome.TIMED_OUT, Outcome.CALLED_OFF)  # legs that take their connection along
 NO_QUEUE = (*ANSWERED, Outcome.BROKEN)
 
 
@@ -163,7 +163,7 @@
 
     def add(self, delay: float, now: float) -> None:
         keep = max(self.fade ** ((now - self.at) / BUCKET), self.legs)
-        self.delay = self.delay * keep + delay
+        self.delay = self.delay * keep + min(delay, MOST_MULTIPLIER)
         self.finished = self.finished * keep + 1.0
         self.at = now
 
@@ -312,7 +312,7 @@
         self.counter = self.walks = 0
         # A second leg opens a connection more, and its time-out costs that: caches were crowded with them.
         self.least_room = SLOW_ROOM if deployment.one_a_line else LEAST_ROOM
-        self.starts = STARTS if deployment.line_price else 1
+        self.starts = STARTS if deployment.one_a_line and deployment.line_price else 1
         self.salt = xxh64_intdigest(b"%d" % deployment.seed)
         self.repeats = 1.0  # further legs that may follow a time-out
         self.spare = max(SPARE_TICKS * deployment.tick, 0.005)
@@ -358,8 +358,7 @@
         return self._route(thing, now)
 
     def after(
-        self, leg: Leg, outcome: Outcome, elapsed: float, over: bool, now: float,
-        report: Report | None = None,
+        self, leg: Leg, outcome: Outcome, elapsed: float, over: bool, now: float, held: float | None = None,
     ) -> list[Step]:
         """What to do after this outcome, for its operation and for those that it frees."""
         if now >= self.next_bucket:
@@ -371,8 +370,8 @@
         if cache.origin:
             self._learn_origin(leg, outcome, elapsed, now)
         else:
-            if report is not None:
-                self._hear_load(cache, report, now)
+            if held is not None:
+                self._hear_load(cache, held / cache.weight, now)
             self._learn_cache(leg, outcome, elapsed, now)
         if over:
             operation.over = True
@@ -527,8 +526,7 @@
         draw = (((key ^ cache.salt ^ self.salt) * MIX) & MASK) / SCALE
         return told <= bound or draw < bound / told
 
-    def _hear_load(self, cache: Cache, report: Report, now: float) -> None:
-        held = report.held / cache.weight
+    def _hear_load(self, cache: Cache, held: float, now: float) -> None:
         keep = TOLD_LEGS * exp((cache.told_at - now) / TOLD_FADE) if cache.told_at else 0.0
         cache.told += (1.0 - keep) * (held - cache.told)
         cache.told_at = now
@@ -592,7 +590,7 @@
 
     def _has_spare_room(self, cache: Cache, now: float) -> bool:
         """Whether what is beyond a share may go to its home cache."""
-        if not self.elsewhere and self.deployment.routers > 1:
+        if not self.deployment.may_message and self.deployment.routers > 1:
             return True  # untold by peers, a run of one tenant's at a sparse router is no proof of too much
         room = max(cache.pace.read(now) * SPARE_PART * self.shortest, SLOW_ROOM)
         return max(cache.late, self.lateness) <= SPARE_LATE and cache.out < room
@@ -705,8 +703,8 @@
         cache.out -= 1
         cache.near.out -= 1
         cache.quiet_since = now
-        if outcome not in ANSWERED:
-            cache.lines = max(cache.lines - 1, 0)  # what ends without an answer takes its connection along
+        if outcome in CUT:
+            cache.lines = max(cache.lines - 1, 0)
         cache.slide(self.bucket)
         cache.buckets[self.bucket % BUCKETS] += elapsed
         cache.busy += elapsed
@@ -751,8 +749,10 @@
         self._judge(cache, now)
 
     def _learn_latency(self, cache: Cache, relative: float, now: float) -> None:
-        for each in (cache.latency, cache.kind, cache.near.latency, self.latency):
-            each.add(min(relative, MOST_MULTIPLIER), now)
+        for each in (cache.latency, cache.kind, self.latency):
+            each.add(relative, now)
+        if len(self.rings) > 1:
+            cache.near.latency.add(relative, now)
 
     def _learn_settled(self, cache: Cache, operation: Operation, elapsed: float, now: float) -> None:
         # Misses are left out of the mean: they come back at once and would make an empty cache
@@ -1055,7 +1055,7 @@
         up = origin is not None and origin.presence is Presence.UP
         if not up or (operation.ran_at is not None and not self._drops_repeats(origin, operation)):
             return self._give_up(operation)
-        # Held for a place, operations came late and their keys fell out of the caches before they came back.
+        # No queue: with one, crowded days were served less (docs/standing.md; why was not measured).
         room = gate.out < max(gate.limit, 1.0) and (operation.write or now >= gate.free_at)
         if not room:
             self.pressed_until = now + PRESSED
--- a/gaugehinge/simhost/host.py
+++ b/gaugehinge/simhost/host.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 from typing import TextIO
 
-from ..charter import charter, parse, read_report
+from ..charter import charter, parse, read_held
 from ..policy import Router
 from ..terms import Answer, Errand, Leg, Listing, Operation, Outcome, Verdict
 from . import wire
@@ -24,7 +24,7 @@
     def __init__(self, number: str, values: dict[str, str], now: float, lines: list[str]) -> None:
         self.number = number
         told = charter(int(values["randomSeed"]), parse(values["info"]))
-        self.types, self.tenants, self.gauges = told.types, told.tenants, told.gauges
+        self.types, self.tenants, self.tells_held = told.types, told.tenants, told.tells_held
         self.table = told.deployment.traffic_types
         self.operations: dict[str, Operation] = {}  # until over and all legs in
         self.timers: dict[int, Operation | Errand] = {}  # until due
@@ -60,7 +60,7 @@
         steps = self.router.after(
             operation.legs[number], wire.OUTCOMES.get(values["stateCode"], Outcome.UNKNOWN),
             int(values.get("tookUs", 0)) / 1e6, values.get("terminal") == "1", now,
-            read_report(values.get("gauge", ""), ":", self.gauges) if self.gauges else None,
+            read_held(values.get("gauge", ""), ":") if self.tells_held else None,
         )
         for each, answer in steps:
             self._do(each, answer, now)
--- a/gaugehinge/terms.py
+++ b/gaugehinge/terms.py
@@ -123,7 +123,7 @@
     zone: str = ""  # where this router stands
     cross_price: float = 0.0  # of a leg to another zone, in payoffs
     one_a_line: bool = False  # a connection carries one leg at a time
-    line_price: float = 0.0  # of a new connection, where it carries one leg at a time
+    line_price: float = 0.0  # of a new connection
 
 
 class Listing(NamedTuple):
@@ -188,13 +188,6 @@
     due: float = 0.0
 
 
-class Report(NamedTuple):
-    """What a server told of its load with an answer, for all its routers together."""
-
-    held: float  # operations in its hands
-    rate: float  # operations a second, 0 where it is not told
-
-
 class Answer(NamedTuple):
     """What the module says of an operation or an errand."""
 
