--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -590,7 +590,7 @@
 
     def _has_spare_room(self, cache: Cache, now: float) -> bool:
         """Whether what is beyond a share may go to its home cache."""
-        if not self.deployment.may_message and self.deployment.routers > 1:
+        if not self.elsewhere and self.deployment.routers > 1:
             return True  # untold by peers, a run of one tenant's at a sparse router is no proof of too much
         room = max(cache.pace.read(now) * SPARE_PART * self.shortest, SLOW_ROOM)
         return max(cache.late, self.lateness) <= SPARE_LATE and cache.out < room
