--- a/gaugehinge/admin/app.py
+++ b/gaugehinge/admin/app.py
@@ -155,6 +155,8 @@
             ("POST", "/v1/feed", "news for a router, and its report", Report, Feed, self.feed),
             ("GET", "/v1/audit", "changes behind a revision", None, AuditPage, self.audit),
         ]
+        for part in administration.parts:
+            self.table += part.routes()
         self.description = openapi([row[:5] for row in self.table])
 
     def app(self) -> Starlette:
--- a/gaugehinge/admin/keep.py
+++ b/gaugehinge/admin/keep.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Annotated
 
@@ -15,19 +16,40 @@
 
 from ..forms import toml
 from ..forms.units import Seconds, default
-from ..installation.form import endpoint
+from ..installation.form import BadField, endpoint
 from ..store.keeper import Overloaded, StoreKeeper
 from ..store.store import Conflict, Full, Wanted, encode
 from ..tenancy.credentials import Attempts, Hasher
 from ..tenancy.life import UNHEARD, Stage, pass_away
 from .app import MOST_BODY, Api
-from .service import TOMBSTONE, Administration
+from .service import TOMBSTONE, Administration, Part
 from .types import Kept
 
 STONES_EVERY = 5.0  # seconds between two looks at tombstones
 GRACE = 5.0  # for calls under way, once told to end
 
 
+class LeasesEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Leases that routers get with each answer (tenancy/lease.py); placement and drains want them."""
+
+    on: Annotated[bool, Meta(description="off: without the keeper routers serve on for ever")] = False
+    time: Annotated[Seconds, Meta(description="of each lease, from when its router asked")] = default(
+        Seconds(15.0)
+    )
+
+
+class KeepPlacement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Shards of tenants pinned to regions (docs/placement.md)."""
+
+    on: Annotated[bool, Meta(description="off: no such calls, nothing told to routers")] = False
+
+
+class KeepDrains(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Grants of connections, and rolls of the fleet (docs/drains.md)."""
+
+    on: Annotated[bool, Meta(description="off: no such calls, nothing told to routers")] = False
+
+
 class KeepFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The file of `gaugehinge keep`."""
 
@@ -36,9 +58,14 @@
     keep_alive: Annotated[Seconds, Meta(description="a connection idle for so long ends")] = default(
         Seconds(30.0)
     )
+    leases: LeasesEntry = default(LeasesEntry())
+    placement: KeepPlacement = default(KeepPlacement())
+    drains: KeepDrains = default(KeepDrains())
 
     def __post_init__(self) -> None:
         endpoint("listen", self.listen)
+        if not self.leases.on and (self.placement.on or self.drains.on):
+            raise BadField("leases.on", "placement and drains go by leases")
 
 
 def read_keep(path: str | Path) -> KeepFile:
@@ -86,13 +113,19 @@
             logger.info("tombstones gone: {}", gone)
 
 
-async def keep(told: KeepFile, hasher: Hasher | None = None) -> None:
-    """Serve until told to end (SIGTERM, SIGINT). Raises Damaged before anything is served."""
+async def keep(
+    told: KeepFile, hasher: Hasher | None = None, parts: Sequence[Callable[[Administration], Part]] = ()
+) -> None:
+    """Serve until told to end (SIGTERM, SIGINT), with the parts that the file switched on. Raises Damaged
+    before anything is served."""
     keeper = StoreKeeper(told.store)
     try:
         administration = Administration(keeper, hasher or Hasher(), Attempts(1, keeper.clock()))
         secret = await administration.first_operator()
         await administration.ready()
+        if told.leases.on:
+            administration.give_leases(float(told.leases.time))
+        administration.parts = [part(administration) for part in parts]
         if secret is not None:
             print(f"operator root, shown this once: {secret}", flush=True)
         config = Config()
@@ -115,6 +148,8 @@
                 nursery.start_soon(hear)
                 nursery.start_soon(keeper.care)
                 nursery.start_soon(stones, administration)
+                for part in administration.parts:
+                    nursery.start_soon(part.run)
                 logger.info("keeper of {} at {}: revision {}", told.store, told.listen, keeper.rev)
                 await serve(Api(administration).app(), config, shutdown_trigger=end.wait)
                 nursery.cancel_scope.cancel()
--- a/gaugehinge/admin/service.py
+++ b/gaugehinge/admin/service.py
@@ -13,7 +13,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, TypeVar
+from typing import Any, Protocol, TypeVar
 
 import msgspec
 import trio
@@ -22,6 +22,7 @@
 from ..store.store import Change, Conflict, Item, Store, Wanted, encode
 from ..tenancy.credentials import Attempts, Credential, Hasher, revoke, rotate
 from ..tenancy.feed import MOST_TENANTS, Feed, Report, TenantRow
+from ..tenancy.lease import Ledger
 from ..tenancy.life import UNHEARD, Order, Refused, Stage, create, order
 from ..tenancy.life import Report as LifeReport
 from .types import (
@@ -94,6 +95,25 @@
     in_hand: dict[int, int]  # by incarnation
 
 
+class Part(Protocol):
+    """A subsystem at the keeper: `placement`, `drains`. It keeps its state as kinds of its own in the store,
+    changed by `Administration._change` or `keeper.apply_planned` alone."""
+
+    name: str  # as in Report.parts and Feed.parts
+
+    def hear(self, report: Report, now: float) -> None:
+        """A router called, at `now` by the keeper's monotonic clock (before its lease is renewed)."""
+
+    def feed(self, store: Store, report: Report) -> bytes | None:
+        """On the store's thread: JSON of what a router is to know of it, as of the store's revision."""
+
+    def routes(self) -> list[tuple[str, str, str, Any, Any, Any]]:
+        """Rows for the table of `admin.app.Api`: method, path, what, form in, form out, handler."""
+
+    async def run(self) -> None:
+        """What it does by itself, until cancelled."""
+
+
 class Administration:
     """The calls of the API on one store."""
 
@@ -104,6 +124,14 @@
         self._known: dict[bytes, tuple[Caller, float, int]] = {}  # by digest; KNOWN_MOST of them
         self.routers: dict[str, Heard] = {}  # by name; ROUTERS_MOST of them
         self.life = ""  # of this store, once it is ready
+        self.run_mark = secrets.token_hex(8)  # of this start of the keeper
+        self.lease = 0.0  # seconds that each answer to a router gives it; 0: none, and no part is on
+        self.leases = Ledger(time.monotonic(), 0.0)  # `give_leases` sets it
+        self.parts: list[Part] = []  # fixed before the API is served
+
+    def give_leases(self, lease: float) -> None:
+        """From the start on, each answer to a router carries a lease of so many seconds."""
+        self.lease, self.leases = lease, Ledger(time.monotonic(), lease)
 
     # -- who is it
 
@@ -347,12 +375,25 @@
         """What a router has not heard yet, waited for as long as it asked."""
         self._hear(report)
         since = report.since if report.store == self.life else 0
+        for part in self.parts:
+            part.hear(report, time.monotonic())
         changes = await self.keeper.changes(since, FEED_MOST + 1, report.wait if since else 0.0)
         if report.router in self.routers:
             self._hear(report)  # the call stood open: the router is there
         if since and changes is not None and len(changes) <= FEED_MOST:
-            return await self.keeper.call(self._changed, since, changes)
-        return await self.keeper.call(self._whole)
+            told = await self.keeper.call(self._dressed, report, lambda: self._changed(since, changes))
+        else:
+            told = await self.keeper.call(self._dressed, report, self._whole)
+        # Counted from now on, when the answer goes: the router counts from its question, which was before.
+        lease = self.leases.give(report.router, report.run, since, self.lease, time.monotonic())
+        return msgspec.structs.replace(told, lease=lease)
+
+    def _dressed(self, report: Report, feed: Callable[[], Feed]) -> Feed:
+        """On the store's thread, so that what parts tell belongs to the revision that is told."""
+        told = feed()
+        said = {part.name: part.feed(self.keeper.store, report) for part in self.parts}
+        parts = {name: msgspec.Raw(body) for name, body in said.items() if body is not None}
+        return msgspec.structs.replace(told, keeper_run=self.run_mark, parts=parts)
 
     def _hear(self, report: Report) -> None:
         if report.router not in self.routers and len(self.routers) >= ROUTERS_MOST:
--- /dev/null
+++ b/gaugehinge/drains/__init__.py
@@ -0,0 +1,1 @@
+"""Rolling drains of nodes within the limits on connections; off unless switched on."""
--- a/gaugehinge/hosted/follower.py
+++ b/gaugehinge/hosted/follower.py
@@ -11,6 +11,7 @@
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
+from typing import Protocol
 from zlib import crc32
 
 import httpx
@@ -63,6 +64,22 @@
             raise BadFeed(f"snapshot: {bad}") from None
 
 
+class Part(Protocol):
+    """A subsystem's side of the feed at a router: `placement`, `drains`, `recovery`."""
+
+    name: str  # as in Report.parts and Feed.parts
+
+    def report(self) -> bytes | None:
+        """JSON that goes with the next call; None: nothing to say."""
+
+    def hear(self, feed: Feed, asked_at: float) -> None:
+        """An answer came to the call that was sent at `asked_at` (seconds, `trio.current_time`). All of the
+        feed is at hand, its own part in `feed.parts`. Raises BadFeed, and then nothing has changed in it."""
+
+    def away(self) -> None:
+        """A call failed. Leases run out by the clock alone; this is for what wants to say so early."""
+
+
 class Follower:
     """One router's following."""
 
@@ -89,6 +106,9 @@
         self.calls = 0
         self._failures = 0
         self._dirty = trio.Event()
+        self.run_number = 0  # told with each report; `recovery` counts it on the router's files
+        self.parts: list[Part] = []  # as switched on by the installation file; fixed before `run`
+        self.wait = WAIT  # seconds that a call may stand open; less where leases are short
 
     # -- the start
 
@@ -118,9 +138,12 @@
                 nursery.start_soon(self._save)
             while True:
                 try:
+                    asked_at = trio.current_time()
                     feed = await self._call()
                     before = self.roster.revision
                     self._carry_out(self.roster.hear(feed))
+                    for part in self.parts:
+                        part.hear(feed, asked_at)
                 except (httpx.HTTPError, msgspec.MsgspecError, BadFeed, Refused) as bad:
                     await trio.sleep(self._failed(bad))
                     continue
@@ -128,11 +151,13 @@
 
     async def _call(self) -> Feed:
         roster = self.roster
+        said = {part.name: part.report() for part in self.parts}
         report = Report(
-            self.service.berth.name, self.run_mark, roster.store, roster.revision, WAIT, self.in_hand()
+            self.service.berth.name, self.run_mark, roster.store, roster.revision, self.wait, self.in_hand(),
+            self.run_number, {name: msgspec.Raw(body) for name, body in said.items() if body is not None},
         )
         self.calls += 1
-        with trio.move_on_after(CONNECT_TIME + WAIT + SLACK):
+        with trio.move_on_after(CONNECT_TIME + self.wait + SLACK):
             answer = await self.client.post("/v1/feed", content=msgspec.json.encode(report))
             if answer.status_code != 200:
                 raise Refused(f"status {answer.status_code}")
@@ -155,6 +180,8 @@
     def _failed(self, bad: Exception) -> float:
         """The keeper is away, or says nonsense; how long until the next call."""
         now = trio.current_time()
+        for part in self.parts:
+            part.away()
         if not self.away_since:
             self.away_since = now
             what = str(bad) or type(bad).__name__
--- a/gaugehinge/installation/form.py
+++ b/gaugehinge/installation/form.py
@@ -264,6 +264,24 @@
                 raise BadField("secret_file", "the keeper tells hashes to nobody without one")
 
 
+class RecoveryEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Recovery of the whole fleet from a power loss (docs/recovery.md)."""
+
+    on: Annotated[bool, Meta(description="off: a router starts as if it were alone")] = False
+
+
+class PlacementEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Shards of tenants pinned to regions, as the keeper tells (docs/placement.md)."""
+
+    on: Annotated[bool, Meta(description="off: every key may go to every server")] = False
+
+
+class DrainsEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Connections to limited stores only as granted by the keeper (docs/drains.md)."""
+
+    on: Annotated[bool, Meta(description="off: connections by this router's own limits alone")] = False
+
+
 class Installation(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One router of an installation."""
 
@@ -281,12 +299,18 @@
     door: DoorEntry = default(DoorEntry())
     cluster: ClusterEntry = default(ClusterEntry())
     follow: FollowEntry = default(FollowEntry())
+    recovery: RecoveryEntry = default(RecoveryEntry())
+    placement: PlacementEntry = default(PlacementEntry())
+    drains: DrainsEntry = default(DrainsEntry())
 
     def __post_init__(self) -> None:
         if self.follow.keeper and self.tenants:
             raise BadField("tenants", "they come from the keeper that is followed")
         if self.follow.keeper and self.cluster.tenant:
             raise BadField("cluster.tenant", "connections say which tenant they are of")
+        for name in ("placement", "drains"):
+            if getattr(self, name).on and not self.follow.keeper:
+                raise BadField(f"{name}.on", "wants a keeper to follow (follow.keeper)")
         unique("traffic", [entry.name for entry in self.traffic])
         unique("tenants", [entry.name for entry in self.tenants])
         if self.tier.listen and len(self.tier.peers) != self.tier.routers:
--- /dev/null
+++ b/gaugehinge/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Self-service placement: tenants pin shards of their keys to regions; off unless switched on."""
--- a/gaugehinge/tenancy/feed.py
+++ b/gaugehinge/tenancy/feed.py
@@ -38,6 +38,9 @@
     tenants: list[TenantRow]
     gone: list[int] = []  # incarnations
     drained: list[str] = []  # all servers that operators told to drain, by the list's names
+    lease: float = 0.0  # seconds, from when the router sent its call: tenancy/lease.py; 0: none is given
+    keeper_run: str = ""  # new with each start of the keeper
+    parts: dict[str, msgspec.Raw] = {}  # what each subsystem tells routers, by its name, in a form of its own
 
 
 class Report(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -49,3 +52,5 @@
     since: Annotated[int, Meta(ge=0)] = 0  # the revision that it follows
     wait: Annotated[float, Meta(ge=0, le=MOST_WAIT)] = 0.0
     in_hand: Annotated[dict[str, int], Meta(max_length=MOST_TENANTS)] = {}  # operations by incarnation
+    run_number: Annotated[int, Meta(ge=0)] = 0  # of the router's starts on its files, rising; 0: not known
+    parts: Annotated[dict[str, msgspec.Raw], Meta(max_length=16)] = {}  # each subsystem's own report, by name
