A watch that fell silent is begun anew at once, within the clock for silence

Cause: net/discovery.py waited 5 s a call and 3 s more before it gave up, then the module paused 0.5 to 1.5 s, as after a refusal. Up to 9.5 s went by before the list came.

Change: calls wait for 2 to 2.5 s and give up 1.25 s later; a watch that fell silent is begun anew within 0.25 s, by chance spread, twice in a row before the module is asked; a refusal still backs off. The worst case stands beside the constants. Where lists are pushed to an agent, a new router asks it before it serves by the list it kept, and asks it again each 0.1 s after an outage: what the agent holds counts as told at once.

--- a/gaugehinge/charter.py
+++ b/gaugehinge/charter.py
@@ -123,6 +123,7 @@
     most_open: int  # operations in hand
     longest_wait: float  # of a client for an answer
     tells_held: bool = False  # whether answers tell what their server holds
+    pushed: bool = False  # lists are pushed to an agent at hand: what that has counts as told at once
 
 
 def _traffic_type(row: int, page: Page) -> TrafficType:
@@ -181,6 +182,7 @@
         allowed.count("openCap", 20_000, least=1),
         max((entry.seconds("abandonTimeUs", 3_000_000) for entry in types), default=3.0),
         report.word("source", SOURCES, "off") and "active" in names,
+        page.text("discovery", "") == "pushed",
     )
 
 
--- a/gaugehinge/net/discovery.py
+++ b/gaugehinge/net/discovery.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import socket
+import zlib
 from collections.abc import Callable
+from enum import Enum, auto
 
 import h11
 import trio
@@ -20,9 +22,30 @@
 PATH = "/discovery/hosts"
 MOST_LIST = 4 << 20  # bytes of an answer
 FIRST_WAIT = 0.5  # of a watch: soon known to be held, it need not be asked for again
-WAIT = 5.0  # of its further calls: a discovery that fell silent is noticed after this and
+FIRST_SILENCE = 3.0  # over that: a discovery with too many callers is slow, and asking again makes it slower
 PACE = 0.05  # between calls that are answered at once; a watch goes on for 200 ms
-SILENCE = 3.0  # so much over the wait of a call
+
+# One clock for silence: what a watch misses counts as told 6 s after it fell silent, or 2 s after the wait of
+# the call that stood open, if that is later. The worst is a watch that falls silent just when its call goes
+# out, at T: that is noticed at T + WAIT + SILENCE = T + 3.75 and asked anew by T + 4.0 (SPREAD), where an
+# answer is due at once; silent once more, it is asked a third time by T + 5.3 (AGAIN_WAIT + AGAIN_SILENCE +
+# SPREAD), so that 0.7 s of the 6 are left for that answer. A call that stood open longer has later limits.
+WAIT = 2.5  # of further calls, less up to WAIT_SPREAD: after a change all routers' calls go out together,
+WAIT_SPREAD = 0.5  # and where those fall silent they must not all be begun anew in one instant
+SILENCE = 1.25  # over the wait of such a call
+SPREAD = 0.25  # at most, before a watch that fell silent is begun anew
+AGAIN_WAIT = 0.05  # of its first call
+AGAIN_SILENCE = 1.0  # over that
+MOST_AGAIN = 2  # silences in a row; then the call has failed, and the module says when to make the next
+NEAR_PAUSE = 0.1  # after a failed call to an agent on this machine: what it holds counts as told at once
+
+
+class End(Enum):
+    """Why a watch ended."""
+
+    FAILED = auto()  # refused, reset, or answered with an error
+    SILENT = auto()
+    BAD = auto()  # a list that cannot be read
 
 
 class Watch:
@@ -31,6 +54,8 @@
     def __init__(self, where: Address, deadlines: Deadlines) -> None:
         self.where = where
         self.deadlines = deadlines
+        self.silent = False  # whether the last call failed for want of an answer
+        self.answered = False  # whether any was answered, since its owner said that none was
         self._raw: socket.socket | None = None
         self._talk = Talk(MOST_LIST)
 
@@ -39,7 +64,8 @@
         body = None
         with self.deadlines.within(most_time) as limit:
             body = await self._fetch(target)
-        if limit.cancelled_caught or body is None:
+        self.silent = limit.cancelled_caught
+        if self.silent or body is None:
             self.hang_up()
             return None
         try:
@@ -85,14 +111,20 @@
 
     def __init__(
         self, nursery: trio.Nursery, deadlines: Deadlines, where: Address, rev: int | None,
-        heard: Callable[[Bulletin], None], failed: Callable[[], None],
+        heard: Callable[[Bulletin], None], failed: Callable[[], None], seed: int = 0, near: bool = False,
     ) -> None:
+        """`near`: lists are pushed to an agent here, which is asked again at once, whatever it answers."""
         self.nursery = nursery
         self.deadlines = deadlines
         self.where = where
         self.rev = rev
         self.heard = heard
         self.failed = failed
+        self.seed = seed
+        self.near = near
+        self.away = False  # the agent
+        self.first_silence = SILENCE if near else FIRST_SILENCE
+        self._draws = 0
         self._watching: trio.CancelScope | None = None
 
     def move(self, where: Address) -> None:
@@ -101,6 +133,7 @@
         The old watch ends with this. A list that it still brought would undo what the new one told.
         """
         self.where, self.rev = where, None
+        self.first_silence = SILENCE  # what is found there counts as told 4 s after the order
         if self._watching is not None:
             self._watching.cancel()
 
@@ -115,7 +148,7 @@
         watch = Watch(self.where, self.deadlines)
         try:
             with scope:
-                await self._watch(watch, scope)
+                await self._keep(watch, scope)
                 if not scope.cancel_called:
                     self.failed()
         except Exception:
@@ -124,24 +157,56 @@
         finally:
             watch.hang_up()
 
-    async def _watch(self, watch: Watch, scope: trio.CancelScope) -> None:
+    async def _keep(self, watch: Watch, scope: trio.CancelScope) -> None:
+        """One watch after the other, for as long as it is the connection that fails and not the service."""
+        wait, silence, again = FIRST_WAIT, self.first_silence, 0
+        while not scope.cancel_called:
+            watch.answered = False
+            end = await self._watch(watch, scope, wait, silence)
+            if scope.cancel_called:
+                return
+            again = 1 if watch.answered else again + 1
+            if end is End.SILENT and (again <= MOST_AGAIN or self.near):
+                # At once: all that the silent one missed counts as told soon, and a pause of the module's, as
+                # after a refusal, took up to 1.5 s of the 6.
+                if again == 1:
+                    logger.info("a watch fell silent at version {}: begun anew", self.rev)
+                await trio.sleep(SPREAD * self._chance())
+            elif self.near:
+                if not self.away:
+                    self.away = True
+                    logger.warning("the agent is away at version {}: asked every {} s", self.rev, NEAR_PAUSE)
+                await trio.sleep(NEAR_PAUSE)
+            else:
+                return
+            wait, silence = AGAIN_WAIT, AGAIN_SILENCE
+
+    async def _watch(self, watch: Watch, scope: trio.CancelScope, wait: float, silence: float) -> End:
         """Call after call, until one fails."""
-        wait = FIRST_WAIT
         while True:
             asked = self.deadlines.clock()
             target = PATH if self.rev is None else f"{PATH}?index={self.rev}&wait={int(wait * 1000)}"
+            open_for = wait if self.rev is not None else 0.0  # the whole list is not waited for
             try:
-                bulletin = await watch.call(target, wait + SILENCE)
+                bulletin = await watch.call(target, open_for + silence)
             except BadCharter as bad:
                 if scope.cancel_called:
-                    return
+                    return End.BAD
                 logger.warning("bad list: {}", bad)
                 self.rev = None  # changes on top of what was not understood would not add up
-                return
+                return End.BAD
             if bulletin is None or scope.cancel_called:  # it may have come just when the watch was ended
-                return
+                return End.SILENT if watch.silent else End.FAILED
+            watch.answered = True
+            if self.away:
+                self.away = False
+                logger.info("the agent is back at version {}", bulletin.rev)
             self.heard(bulletin)
             self.rev = bulletin.rev  # only now: what could not be used must be told again
             if self.deadlines.clock() - asked < PACE:
                 await trio.sleep(PACE)  # one that answers at once, whatever the wait, must not be run against
-            wait = WAIT
+            wait, silence = WAIT - WAIT_SPREAD * self._chance(), SILENCE
+
+    def _chance(self) -> float:
+        self._draws += 1
+        return zlib.crc32(b"%d watch %d" % (self.seed, self._draws)) / 4294967296.0
--- a/gaugehinge/net/service.py
+++ b/gaugehinge/net/service.py
@@ -71,17 +71,17 @@
         peers = self.peers = Peers(berth.peer_listen, berth.peers) if berth.peer_listen else None
         async with trio.open_nursery() as nursery:
             with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-                known = self._known()
+                known, near = self._known(), berth.charter.pushed
                 pool = self.pool = Pool(
                     nursery, self.deadlines, int(berth.sockets * LINE_PART), berth.charter.connect_time,
                     berth.charter.idle_time, self.dispatch.leg_ended,
                 )
                 discovery = self.discovery = Discovery(
-                    nursery, self.deadlines, berth.discovery, known and known.rev, self._hear_list,
-                    self.dispatch.list_failed,
+                    nursery, self.deadlines, berth.discovery, None if known is None or near else known.rev,
+                    self._hear_list, self.dispatch.list_failed, berth.charter.deployment.seed, near,
                 )
                 self.dispatch.bind(pool, discovery.follow, peers.tell if peers else lambda *told: None)
-                if known is not None:
+                if known is not None and not near:
                     self.dispatch.hear_list(known, held=True)
                 self.dispatch.begin()
                 door = self.new_door(berth.charter, self.dispatch, berth.memory) if self.new_door else None
@@ -98,7 +98,11 @@
                 self._divide(berth)
                 accepting = trio.CancelScope()
                 nursery.start_soon(self._accept, accepting)
-                if known is not None and any(t.listing.presence is Presence.UP for t in known.targets):
+                if near:
+                    # What the agent has counts as told from the first moment on: by a list kept from before,
+                    # legs went to servers that had been told to drain. Only with the agent away it serves.
+                    self.deadlines.at(self.clock() + START_TIME, self._without_agent, known)
+                elif known is not None and any(t.listing.presence is Presence.UP for t in known.targets):
                     self._enter(Phase.READY)
                 else:
                     self.deadlines.at(self.clock() + START_TIME, self._ready)
@@ -154,6 +158,12 @@
         self.dispatch.hear_list(bulletin)
         self._ready()
 
+    def _without_agent(self, known: Bulletin | None) -> None:
+        if known is not None and self.course.phase is Phase.STARTING:
+            logger.warning("no word of the agent: serving by the list kept before, version {}", known.rev)
+            self.dispatch.hear_list(known, held=True)
+        self._ready()
+
     def _ready(self) -> None:
         if self.course.phase is Phase.STARTING:
             self._enter(Phase.READY)
