--- /dev/null
+++ b/gaugehinge/histories/breaks.py
@@ -0,0 +1,50 @@
+"""What checks allow and what they find. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from .events import AnyEvent
+
+LINES_MOST = 12  # of a break that are shown
+
+
+@dataclass(slots=True, frozen=True)
+class Bounds:
+    """What the checks allow; wide enough for a busy machine where time is in it."""
+
+    slack: float = 1.0  # seconds after the abandon time in which an answer still counts as in time
+    drain: float = 1.0  # seconds after a drain was told in which a new leg is no break
+    limits: dict[str, int] | None = None  # connections that each limited store bears
+    memory: float = 9.0  # seconds for which a mark is remembered
+    origin: str = "origin"  # the party that stands in no region
+    born: tuple[str, ...] = ()  # what values begin with that nobody wrote: the origin makes them for any key
+    search: int = 200_000  # configurations that the search of one register looks at, at most
+    moved: tuple[str, ...] = ("/shards/", "/rolls/", "/servers/")  # in paths of what the keeper changes
+
+
+@dataclass(slots=True, frozen=True)
+class Break:
+    """One rule that was broken."""
+
+    rule: str  # the check's name
+    ident: str  # operation, shard, store or change
+    parties: tuple[str, ...]
+    began: float
+    ended: float
+    why: str  # one sentence with figures
+    lines: tuple[AnyEvent, ...] = ()
+
+    def told(self, zero: float = 0.0) -> str:
+        """As text: one line, and below it the lines of the histories, each with seconds since `zero`."""
+        head = f"{self.rule}: {self.ident} ({', '.join(self.parties)})"
+        head += f" {self.began - zero:.3f}-{self.ended - zero:.3f} s: {self.why}"
+        shown = [
+            f"    {event.at - zero:10.3f} {msgspec.json.encode(event).decode()}"
+            for event in self.lines[:LINES_MOST]
+        ]
+        if len(self.lines) > LINES_MOST:
+            shown.append(f"    and {len(self.lines) - LINES_MOST} more")
+        return "\n".join([head, *shown])
--- a/gaugehinge/histories/checks.py
+++ b/gaugehinge/histories/checks.py
@@ -1,43 +1,84 @@
 """Checks over a whole history, after the fact. No I/O.
 
 Each is a function of the events in the order of their times and of `Bounds`, and returns breaks; `ALL` names
-them. A break says which operation, which parties, when, and the lines that show it.
+them. A break says which operation, which parties, when, and the lines that show it. docs/histories.md says
+what each promises and what it cannot see.
 """
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Sequence
 
+from . import operations, registers, stores
+from .breaks import Bounds, Break
 from .events import AnyEvent
+from .reading import Reading
 
+Check = Callable[[Sequence[AnyEvent], Bounds], list[Break]]
 
-@dataclass(slots=True, frozen=True)
-class Bounds:
-    """What the checks allow; wide enough for a busy machine where time is in it."""
+ALL: dict[str, Check] = {
+    "answers": operations.answers,
+    "unanswered": operations.unanswered,
+    "late": operations.late,
+    "effects_by_mark": operations.effects_by_mark,
+    "effects_by_id": operations.effects_by_id,
+    "bounced_though_ran": operations.bounced_though_ran,
+    "settled_without_effect": operations.settled_without_effect,
+    "unasked": operations.unasked,
+    "values": operations.values,
+    "tenants": operations.tenants,
+    "drains": stores.drains,
+    "confined": stores.confined,
+    "connections": stores.connections,
+    "crashes": stores.crashes,
+    "acknowledged": registers.acknowledged,
+    "registers": registers.registers,
+}
 
-    slack: float = 1.0  # seconds after the abandon time in which an answer still counts as in time
-    drain: float = 1.0  # seconds after a drain was told in which a new leg is no break
-    limits: dict[str, int] | None = None  # connections that each limited store bears
-    memory: float = 9.0  # seconds for which a mark is remembered
 
+def check(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
+    """Every check of `ALL` over one play, in the order of the breaks' times."""
+    reading = Reading.of(history)
+    found = [each for one in ALL.values() for each in one(reading, bounds)]
+    return sorted(found, key=lambda each: each.began)
 
-@dataclass(slots=True, frozen=True)
-class Break:
-    """One rule that was broken."""
 
-    rule: str  # the check's name
-    ident: str  # operation, shard, store or change
-    parties: tuple[str, ...]
-    began: float
-    ended: float
-    why: str  # one sentence with figures
-    lines: tuple[AnyEvent, ...] = ()
+def undecided(history: Sequence[AnyEvent], bounds: Bounds) -> list[str]:
+    """What a bounded search could not decide, one line each: no breaks."""
+    return registers.undecided(history, bounds)
 
 
-def check(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
-    """Every check of `ALL` over one play."""
-    return [found for each in ALL.values() for found in each(history, bounds)]
+def looked_at(history: Sequence[AnyEvent], bounds: Bounds) -> dict[str, int]:
+    """How many things each check had to look at. A check that saw nothing has shown nothing: plays state
+    these, and assert that what they are about is not 0."""
+    reading = Reading.of(history)
+    ops = list(reading.ops.values())
+    by_mark = sum(name.startswith("mark ") for _, name in reading.effects)
+    settled = [op for op in ops if any(e.outcome == "settled" for e in reading.ends.get(op.ident, ()))]
+    bounced = [op for op in ops if any(e.outcome == "bounced" for e in reading.ends.get(op.ident, ()))]
+    limited = bounds.limits or {}
+    found = registers.registers_of(reading, bounds)
+    answered = sum(end.outcome != "lost" for ends in reading.ends.values() for end in ends)
+    read = sum(not op.write for op in settled) if any(op.value for op in ops) else 0
+    writes = sum(s.act is registers.Act.WRITE and s.needed for each in found for s in each.steps)
+    return {
+        "answers": answered,
+        "unanswered": len(ops),
+        "late": answered,
+        "effects_by_mark": by_mark,
+        "effects_by_id": len(reading.effects) - by_mark,
+        "bounced_though_ran": sum(op.effect == "unrepeatable" for op in bounced),
+        "settled_without_effect": sum(op.write for op in settled) if reading.legs else 0,
+        "unasked": sum(leg.effect for leg in reading.legs),
+        "values": read,
+        "tenants": read,
+        "drains": sum(leg.draining for leg in reading.legs),
+        "confined": stores.confined_legs(reading, bounds),
+        "connections": sum(event.store in limited for event in reading.connections),
+        "crashes": sum(event.state == "started" for event in reading.processes),
+        "acknowledged": writes,
+        "registers": sum(step.needed for each in found for step in each.steps),
+    }
 
 
-ALL: dict[str, object] = {}
+__all__ = ["ALL", "Bounds", "Break", "Check", "check", "looked_at", "undecided"]
--- a/gaugehinge/histories/events.py
+++ b/gaugehinge/histories/events.py
@@ -35,6 +35,7 @@
     wait: float  # seconds that it waits: the abandon time is `at + wait`
     mark: str = ""  # of a deduplicated write
     repeat_of: str = ""  # ident of the operation that it repeats (`r=1`); empty: a first one
+    value: str = ""  # that it writes; of its own for each write, so that a read tells whose it is
 
 
 class OpEnded(Event, frozen=True, tag="op_ended"):
@@ -96,6 +97,7 @@
     status: int = -1  # -1: it begins
     answer: str = ""
     revision: int = 0
+    key: str = ""  # `Idempotency-Key`: calls with the same one are one change
 
 
 class Placed(Event, frozen=True, tag="placed"):
--- /dev/null
+++ b/gaugehinge/histories/operations.py
@@ -0,0 +1,234 @@
+"""Checks of operations: answers, effects, values. No I/O.
+
+Each function reads a history in the order of its times and `Bounds`, and returns breaks.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Sequence
+
+from .breaks import Bounds, Break
+from .events import AnyEvent, OpBegan, OpEnded
+from .reading import GONE, Reading
+
+TAKEN = 0.1  # seconds before SIGTERM in which a new connection may still have stood in the queue, unseen
+WROTE = 0.05  # by which a client may note a write later than it was written
+
+
+def answers(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
+    """At most one answer to each operation, and none to what nobody sent."""
+    reading, found = Reading.of(history), []
+    for ident, ends in reading.ends.items():
+        real = [end for end in ends if end.outcome != "lost"]
+        op = reading.ops.get(ident)
+        if op is None:
+            why = "an answer to an operation that nobody sent"
+            found.append(Break("answers", ident, (ends[0].party,), ends[0].at, ends[-1].at, why, tuple(ends)))
+        elif len(real) > 1:
+            gap = (real[-1].at - real[0].at) * 1000.0
+            why = f"{len(real)} answers ({', '.join(end.outcome for end in real)}) within {gap:.1f} ms"
+            found.append(_of(op, "answers", real[-1].at, why, real))
+    return found
+
+
+def unanswered(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
+    """Each operation that was taken is answered, unless its router was killed, stood still, or was cut off
+    from the client. What was begun before SIGTERM is answered, too."""
+    reading, found = Reading.of(history), []
+    for op in reading.ops.values():
+        ends = reading.ends.get(op.ident, ())
+        if any(end.outcome != "lost" for end in ends):
+            continue
+        until = ends[0].at if ends else op.at + op.wait
+        if not ends and until + bounds.slack > reading.over:
+            continue  # the play was over before it had to be answered
+        if reading.faulty(op.party, op.router, op.at, until) or _away(reading, op, until + bounds.slack):
+            continue
+        if reading.stood(op.party, op.at, until) or reading.life(op.party, op.at, until)[0] in GONE:
+            continue
+        why = f"{until - op.at:.3f} s after it was sent there was no answer, and its router ran"
+        found.append(_of(op, "unanswered", until, why, ends))
+    return found
+
+
+def _away(reading: Reading, op: OpBegan, until: float) -> bool:
+    """Whether its router can be excused for no answer at all."""
+    state, changes = reading.life(op.router, op.at, until)
+    if state in (*GONE, "stopped"):
+        return True
+    told = next((event.at for event in changes if event.state == "told_to_end"), None)
+    if told is None:
+        return any(event.state in (*GONE, "stopped", "continued", "started") for event in changes)
+    rest = [event.state for event in changes if event.at >= told]
+    before = [event.state for event in changes if event.at < told]
+    return op.at > told - TAKEN or "killed" in rest or "stopped" in before + rest or "continued" in before
+
+
+def late(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
+    """No answer after the abandon time and the slack, unless router or client stood still, or their link
+    was faulty meanwhile."""
+    reading, found = Reading.of(history), []
+    for op in reading.ops.values():
+        for end in reading.ends.get(op.ident, ()):
+            over = end.at - (op.at + op.wait)
+            if end.outcome == "lost" or over <= bounds.slack:
+                continue
+            if reading.stood(op.router, op.at, end.at) or reading.stood(op.party, op.at, end.at):
+                continue
+            if reading.faulty(op.party, op.router, op.at, end.at):
+                continue
+            why = f"{end.outcome} {over:.3f} s after its abandon time of {op.wait:.3f} s"
+            found.append(_of(op, "late", end.at, why, [end]))
+    return found
+
+
+def effects_by_mark(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
+    """A deduplicated write takes effect at most once within the memory of its mark, whatever failed."""
+    reading, found = Reading.of(history), []
+    for (_, name), legs in reading.effects.items():
+        if not name.startswith("mark ") or len(legs) < 2:
+            continue
+        pair = next(
+            (
+                (one, other) for one, other in zip(legs, legs[1:], strict=False)
+                if other.at - one.at < bounds.memory
+            ),
+            None,
+        )
+        if pair is not None:
+            found.append(_effects(reading, "effects_by_mark", name.removeprefix("mark "), pair, bounds))
+    return found
+
+
+def effects_by_id(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
+    """An unrepeatable write takes effect at most once, its client's repeats counted in, at any distance."""
+    reading, found = Reading.of(history), []
+    for (_, name), legs in reading.effects.items():
+        op = reading.ops.get(name.removeprefix("id "))
+        if op is not None and op.effect == "unrepeatable" and len(legs) > 1:
+            found.append(_effects(reading, "effects_by_id", op.ident, legs, bounds))
+    return found
+
+
+def _effects(reading: Reading, rule: str, name: str, legs: Sequence, bounds: Bounds) -> Break:
+    ops = {op.ident: op for leg in legs if (op := reading.op_of(leg.ident)) is not None}
+    ends = [end for ident in ops for end in reading.ends.get(ident, ())]
+    gap = legs[-1].at - legs[0].at
+    why = f"{len(legs)} effects, {gap:.3f} s apart"
+    if rule == "effects_by_mark":
+        why += f", within the {bounds.memory:.1f} s for which its mark is remembered"
+    parties = dict.fromkeys([*(leg.server for leg in legs), *(op.router for op in ops.values())])
+    lines = sorted([*ops.values(), *legs, *ends], key=lambda event: event.at)
+    return Break(rule, name, tuple(parties), legs[0].at, legs[-1].at, why, tuple(lines))
+
+
+def bounced_though_ran(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
+    """What was bounced never ran: an unrepeatable operation has no effect then, before or after."""
+    reading, found = Reading.of(history), []
+    for ident, ends in reading.ends.items():
+        op = reading.ops.get(ident)
+        if op is None or op.effect != "unrepeatable":
+            continue
+        bounced = next((end for end in ends if end.outcome == "bounced"), None)
+        ran = [leg for leg in reading.legs_of.get(ident, ()) if leg.effect]
+        if bounced is not None and ran:
+            side = "before" if ran[0].at <= bounced.at else "after"
+            why = f"told that it never ran, and it took effect at {ran[0].server} "
+            why += f"{abs(bounced.at - ran[0].at):.3f} s {side}"
+            found.append(_of(op, "bounced_though_ran", bounced.at, why, [*ran, bounced]))
+    return found
+
+
+def settled_without_effect(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
+    """A write that settled took effect: by its mark or id, or (idempotent ones) it came to a server."""
+    reading, found = Reading.of(history), []
+    if not reading.legs:
+        return found  # servers and origin keep no history in this play
+    for op in reading.ops.values():
+        if not op.write:
+            continue
+        end = next((end for end in reading.ends.get(op.ident, ()) if end.outcome == "settled"), None)
+        if end is None:
+            continue
+        if op.effect == "idempotent":
+            ran = any(leg.write for leg in reading.legs_of.get(op.ident, ()))
+        else:
+            ran = any(leg.at <= end.at + WROTE for leg in reading.effects.get(reading.write_of(op), ()))
+        if not ran:
+            legs = reading.legs_of.get(op.ident, ())
+            why = f"settled, and none of its {len(legs)} legs took effect"
+            found.append(_of(op, "settled_without_effect", end.at, why, [*legs, end]))
+    return found
+
+
+def unasked(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
+    """No effect that no client asked for: a server that changed something for an unknown ident."""
+    reading, found = Reading.of(history), []
+    if not reading.ops:
+        return found
+    for leg in reading.legs:
+        if leg.effect and reading.op_of(leg.ident) is None:
+            why = f"{leg.server} changed {leg.key!r} for an operation that no client sent"
+            found.append(Break("unasked", leg.ident, (leg.server,), leg.at, leg.at, why, (leg,)))
+    return found
+
+
+def _written(reading: Reading) -> dict[str, list[OpBegan]]:
+    """Writes by the value that they wrote."""
+    found: dict[str, list[OpBegan]] = defaultdict(list)
+    for op in reading.ops.values():
+        if op.write and op.value:
+            found[op.value].append(op)
+    return found
+
+
+def _read(reading: Reading, bounds: Bounds) -> list[tuple[OpBegan, OpEnded]]:
+    """Reads that settled with a value that did not stand from the start."""
+    return [
+        (op, end)
+        for op in reading.ops.values()
+        if not op.write
+        for end in reading.ends.get(op.ident, ())
+        if end.outcome == "settled" and end.value and not end.value.startswith(bounds.born)
+    ]
+
+
+def values(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
+    """A read that settled gives nothing, or what somebody of its tenant wrote to that key before."""
+    reading, found = Reading.of(history), []
+    written = _written(reading)
+    if not written:
+        return found  # the clients of this play do not say what they write
+    for op, end in _read(reading, bounds):
+        writes = written.get(end.value, ())
+        own = [w for w in writes if w.tenant == op.tenant]
+        if (writes and not own) or any(w.key == op.key and w.at <= end.at + WROTE for w in own):
+            continue  # another tenant's is the matter of `tenants`
+        if not own:
+            why = f"read {end.value[:60]!r}, which nobody wrote"
+        else:
+            why = f"read {end.value[:60]!r}, which was written to {own[0].key!r}"
+            why += " (later)" if own[0].key == op.key else ", not to this key"
+        found.append(_of(op, "values", end.at, why, [*own[:2], end]))
+    return found
+
+
+def tenants(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
+    """No tenant reads what only another one wrote."""
+    reading, found = Reading.of(history), []
+    written = _written(reading)
+    for op, end in _read(reading, bounds):
+        writes = written.get(end.value, ())
+        if writes and not any(w.tenant == op.tenant for w in writes):
+            why = f"{op.tenant} read {end.value[:60]!r}, which only {writes[0].tenant} wrote"
+            found.append(_of(op, "tenants", end.at, why, [*writes[:2], end]))
+    return found
+
+
+def _of(op: OpBegan, rule: str, ended: float, why: str, lines: Sequence[AnyEvent]) -> Break:
+    """A break of one operation, with its begin before the lines that show it."""
+    servers = (server for line in lines if (server := getattr(line, "server", "")))
+    parties = tuple(dict.fromkeys((op.party, op.router, *servers)))
+    told = tuple(sorted([op, *lines], key=lambda event: event.at))
+    return Break(rule, op.ident, parties, op.at, ended, why, told)
--- /dev/null
+++ b/gaugehinge/histories/stores.py
@@ -0,0 +1,174 @@
+"""Checks of servers, the origin, shards and processes: drains, pinned shards, connections, ends. No I/O."""
+
+from __future__ import annotations
+
+import math
+from bisect import bisect_right
+from collections import defaultdict
+from collections.abc import Iterator, Sequence
+
+from .breaks import Bounds, Break
+from .events import AnyEvent, Connections, Leg, Placed
+from .reading import Reading
+from .registers import calls_of
+
+CONFINED = "confined"
+GOOD_FILES = ("", "same", "older", "none")  # with which a process that ends by itself has crashed
+
+
+def drains(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
+    """No new leg at a server that drains, longer after its router was told than `Bounds.drain`.
+
+    What a router sent before may come late: not judged where its link to the server or to discovery was
+    faulty, or one of them stood still, in the time between.
+    """
+    reading, found = Reading.of(history), []
+    for leg in reading.legs:
+        if not leg.draining or leg.at - leg.told_at <= bounds.drain:
+            continue
+        op = reading.op_of(leg.ident)
+        router = op.router if op else ""
+        if router and (
+            reading.faulty(router, leg.server, leg.told_at, leg.at)
+            or reading.faulty(router, "discovery", leg.told_at, leg.at)
+            or reading.stood(router, leg.told_at, leg.at)
+            or reading.stood(leg.server, leg.told_at, leg.at)
+        ):
+            continue
+        why = f"a new leg {leg.at - leg.told_at:.3f} s after its router was told that {leg.server} drains"
+        parties = (leg.server, router) if router else (leg.server,)
+        lines = (op, leg) if op else (leg,)
+        found.append(Break("drains", leg.ident, parties, leg.told_at, leg.at, why, lines))
+    return found
+
+
+def confined_times(reading: Reading) -> list[tuple[Placed, Placed]]:
+    """Times in which a shard pinned with `only` was certainly confined: from one statement to the next like
+    it, with no change of its tenant's things begun between that may have been made."""
+    changed: dict[str, list[float]] = defaultdict(list)
+    for call in calls_of(reading):
+        if call.method != "GET" and (call.made or call.maybe):
+            parts = call.path.split("/")
+            if len(parts) > 3 and parts[2] == "tenants":
+                changed[parts[3]].append(call.began)
+    told: dict[tuple[str, str], list[Placed]] = defaultdict(list)
+    for event in reading.placed:
+        told[event.tenant, event.shard].append(event)
+    return [
+        (one, other)
+        for (tenant, _), events in told.items()
+        for one, other in zip(events, events[1:], strict=False)
+        if one.only and one.stage == other.stage == CONFINED and other.only
+        and set(one.zones) == set(other.zones) and set(one.prefixes) == set(other.prefixes)
+        and not reading.between(sorted(changed[tenant]), one.at, other.at)
+    ]
+
+
+def confined(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
+    """No key of a pinned `only` shard at a server outside its region's zones while the keeper said that it is
+    confined. The origin stands in no region.
+
+    An operation that was sent before it was confined may come late: not judged where its router's link to the
+    server was faulty, or the server stood still, since then. A router that stood still is no excuse.
+    """
+    reading = Reading.of(history)
+    return [
+        _outside(reading, leg, one, other)
+        for leg, one, other in _judged(reading, bounds)
+        if leg.zone not in one.zones and not _late_leg(reading, leg, one.at)
+    ]
+
+
+def confined_legs(history: Sequence[AnyEvent], bounds: Bounds) -> int:
+    """How many legs `confined` had to look at: those of a key that was confined when they came."""
+    return sum(1 for _ in _judged(Reading.of(history), bounds))
+
+
+def _judged(reading: Reading, bounds: Bounds) -> Iterator[tuple[Leg, Placed, Placed]]:
+    """Legs at servers whose key was confined, with the statements before and after."""
+    times: dict[str, list[tuple[Placed, Placed]]] = defaultdict(list)
+    for pair in confined_times(reading):
+        for prefix in pair[0].prefixes:
+            times[prefix].append(pair)
+    if not times:
+        return
+    for pairs in times.values():
+        pairs.sort(key=lambda pair: pair[0].at)
+    first: dict[str, float] = {}  # when the keeper first spoke of a prefix
+    for event in reading.placed:
+        for prefix in event.prefixes:
+            first.setdefault(prefix, event.at)
+    for leg in reading.legs:
+        if leg.server.startswith(bounds.origin) or not leg.zone:
+            continue
+        spoken = (
+            prefix for size in range(len(leg.key), -1, -1)
+            if first.get(prefix := leg.key[:size], math.inf) <= leg.at
+        )
+        prefix = next(spoken, None)  # the longest: of which shard the key is
+        pairs = times.get(prefix, ()) if prefix is not None else ()
+        at = bisect_right(pairs, leg.at, key=lambda pair: pair[0].at) - 1
+        if at >= 0 and leg.at <= pairs[at][1].at:
+            yield leg, *pairs[at]
+
+
+def _late_leg(reading: Reading, leg: Leg, since: float) -> bool:
+    op = reading.op_of(leg.ident)
+    if op is None or op.at >= since:
+        return False
+    return reading.faulty(op.router, leg.server, op.at, leg.at) or reading.stood(leg.server, op.at, leg.at)
+
+
+def _outside(reading: Reading, leg: Leg, one: Placed, other: Placed) -> Break:
+    op = reading.op_of(leg.ident)
+    why = f"{leg.key!r} at {leg.server} in zone {leg.zone}, {leg.at - one.at:.3f} s after the keeper said "
+    why += f"that {one.tenant}/{one.shard} is confined to {', '.join(one.zones)}"
+    if op is not None:
+        why += f"; sent {abs(op.at - one.at):.3f} s {'before' if op.at < one.at else 'after'} that"
+    parties = (leg.server, op.router, op.party) if op else (leg.server,)
+    lines = [event for event in (one, op, leg, other) if event is not None]
+    lines.sort(key=lambda event: event.at)
+    return Break("confined", f"{one.tenant}/{one.shard}", parties, one.at, leg.at, why, tuple(lines))
+
+
+def connections(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
+    """No limited store has more connections than it bears, at no moment, by its own count."""
+    reading, found = Reading.of(history), []
+    limits = bounds.limits or {}
+    over: dict[str, list[Connections]] = {}
+    for event in reading.connections:
+        limit = limits.get(event.store, math.inf)
+        if event.count > limit:
+            over.setdefault(event.store, []).append(event)
+        elif event.store in over:
+            found.append(_over(over.pop(event.store), event.at, int(limit)))
+    found += [_over(events, reading.over, limits[store]) for store, events in over.items()]
+    return found
+
+
+def _over(events: list[Connections], until: float, limit: int) -> Break:
+    worst = max(events, key=lambda event: event.count)
+    most = ", ".join(f"{name} {count}" for name, count in sorted(worst.by.items(), key=lambda e: -e[1]))
+    why = f"{worst.count} connections where {limit} are the limit, over it for {until - events[0].at:.3f} s"
+    why += f" ({most})" if most else ""
+    lines = (events[0], worst) if worst is not events[0] else (worst,)
+    return Break("connections", worst.store, (worst.store, *worst.by), events[0].at, until, why, lines)
+
+
+def crashes(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
+    """No process ends that nobody told to, unless it was started on files that it cannot use."""
+    reading, found = Reading.of(history), []
+    started: dict[str, tuple[float, str]] = {}
+    told: set[str] = set()
+    for event in reading.processes:
+        if event.state == "started":
+            started[event.name] = event.at, event.files
+            told.discard(event.name)
+        elif event.state in ("killed", "told_to_end"):
+            told.add(event.name)
+        elif event.state == "ended" and event.name not in told:
+            at, files = started.get(event.name, (event.at, ""))
+            if files in GOOD_FILES:
+                why = f"ended by itself, {event.at - at:.3f} s after its start"
+                found.append(Break("crashes", event.name, (event.name,), at, event.at, why, (event,)))
+    return found
