--- a/gaugehinge/histories/breaks.py
+++ b/gaugehinge/histories/breaks.py
@@ -20,7 +20,8 @@
     limits: dict[str, int] | None = None  # connections that each limited store bears
     memory: float = 9.0  # seconds for which a mark is remembered
     origin: str = "origin"  # the party that stands in no region
-    born: tuple[str, ...] = ()  # what values begin with that nobody wrote: the origin makes them for any key
+    born: str = "of "  # begins a value that nobody wrote: the origin makes it up, and the key follows
+    unknown: float = 5.0  # seconds for which a call that broke off may still be under way at the keeper
     search: int = 200_000  # configurations that the search of one register looks at, at most
     moved: tuple[str, ...] = ("/shards/", "/rolls/", "/servers/")  # in paths of what the keeper changes
 
--- a/gaugehinge/histories/checks.py
+++ b/gaugehinge/histories/checks.py
@@ -59,7 +59,7 @@
     limited = bounds.limits or {}
     found = registers.registers_of(reading, bounds)
     answered = sum(end.outcome != "lost" for ends in reading.ends.values() for end in ends)
-    read = sum(not op.write for op in settled) if any(op.value for op in ops) else 0
+    read = sum(not op.write for op in settled)
     writes = sum(s.act is registers.Act.WRITE and s.needed for each in found for s in each.steps)
     return {
         "answers": answered,
--- a/gaugehinge/histories/events.py
+++ b/gaugehinge/histories/events.py
@@ -35,7 +35,7 @@
     wait: float  # seconds that it waits: the abandon time is `at + wait`
     mark: str = ""  # of a deduplicated write
     repeat_of: str = ""  # ident of the operation that it repeats (`r=1`); empty: a first one
-    value: str = ""  # that it writes; of its own for each write, so that a read tells whose it is
+    value: str = ""  # that it writes, a different one each time; empty: its tenant and ident, `TENANT|IDENT`
 
 
 class OpEnded(Event, frozen=True, tag="op_ended"):
--- a/gaugehinge/histories/operations.py
+++ b/gaugehinge/histories/operations.py
@@ -178,51 +178,68 @@
     """Writes by the value that they wrote."""
     found: dict[str, list[OpBegan]] = defaultdict(list)
     for op in reading.ops.values():
-        if op.write and op.value:
-            found[op.value].append(op)
+        if op.write:
+            found[op.value or f"{op.tenant}|{op.ident}"].append(op)
     return found
 
 
-def _read(reading: Reading, bounds: Bounds) -> list[tuple[OpBegan, OpEnded]]:
-    """Reads that settled with a value that did not stand from the start."""
+def _read(reading: Reading) -> list[tuple[OpBegan, OpEnded]]:
+    """Reads that settled with a value."""
     return [
         (op, end)
         for op in reading.ops.values()
         if not op.write
         for end in reading.ends.get(op.ident, ())
-        if end.outcome == "settled" and end.value and not end.value.startswith(bounds.born)
+        if end.outcome == "settled" and end.value
     ]
 
 
+def _spaces(reading: Reading) -> dict[str, set[str]]:
+    """What stands before each tenant's keys at servers, as legs of its operations tell."""
+    found: dict[str, set[str]] = defaultdict(set)
+    for leg in reading.legs:
+        op = reading.op_of(leg.ident)
+        if op is not None and leg.key.endswith(op.key):
+            found[op.tenant].add(leg.key.removesuffix(op.key))
+    return found
+
+
 def values(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
-    """A read that settled gives nothing, or what somebody of its tenant wrote to that key before."""
+    """A read that settled gives nothing, what the origin makes up for that key, or what somebody of its
+    tenant wrote to that key before."""
     reading, found = Reading.of(history), []
     written = _written(reading)
-    if not written:
-        return found  # the clients of this play do not say what they write
-    for op, end in _read(reading, bounds):
+    for op, end in _read(reading):
         writes = written.get(end.value, ())
         own = [w for w in writes if w.tenant == op.tenant]
         if (writes and not own) or any(w.key == op.key and w.at <= end.at + WROTE for w in own):
             continue  # another tenant's is the matter of `tenants`
+        if not own and bounds.born and end.value.startswith(bounds.born) and end.value.endswith(op.key):
+            continue
         if not own:
-            why = f"read {end.value[:60]!r}, which nobody wrote"
+            why = f"read {end.value[:60]!r} at {op.key!r}, which nobody wrote"
         else:
             why = f"read {end.value[:60]!r}, which was written to {own[0].key!r}"
-            why += " (later)" if own[0].key == op.key else ", not to this key"
+            why += " later" if own[0].key == op.key else f", at {op.key!r}"
         found.append(_of(op, "values", end.at, why, [*own[:2], end]))
     return found
 
 
 def tenants(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
-    """No tenant reads what only another one wrote."""
+    """No tenant reads what only another one wrote, nor what was made up for a key in another one's space."""
     reading, found = Reading.of(history), []
-    written = _written(reading)
-    for op, end in _read(reading, bounds):
+    written, spaces = _written(reading), _spaces(reading)
+    for op, end in _read(reading):
         writes = written.get(end.value, ())
         if writes and not any(w.tenant == op.tenant for w in writes):
             why = f"{op.tenant} read {end.value[:60]!r}, which only {writes[0].tenant} wrote"
             found.append(_of(op, "tenants", end.at, why, [*writes[:2], end]))
+        elif not writes and bounds.born and end.value.startswith(bounds.born):
+            space = end.value.removeprefix(bounds.born).removesuffix(op.key)
+            other = next((name for name, known in spaces.items() if name != op.tenant and space in known), "")
+            if other and space not in spaces[op.tenant]:
+                why = f"{op.tenant} read {end.value[:60]!r}, a key in the space of {other}"
+                found.append(_of(op, "tenants", end.at, why, [end]))
     return found
 
 
--- a/gaugehinge/histories/reading.py
+++ b/gaugehinge/histories/reading.py
@@ -176,10 +176,11 @@
             ]
         return any(began <= until and ended >= since for began, ended in times)
 
-    def between(self, times: Sequence[float], since: float, until: float) -> bool:
-        """Whether any of the sorted times lies within."""
-        at = bisect_left(times, since)
-        return at < len(times) and times[at] <= until
+
+def between(times: Sequence[float], since: float, until: float) -> bool:
+    """Whether any of the sorted times lies within."""
+    at = bisect_left(times, since)
+    return at < len(times) and times[at] <= until
 
 
 def _is(party: str, named: str) -> bool:
--- a/gaugehinge/histories/registers.py
+++ b/gaugehinge/histories/registers.py
@@ -111,7 +111,7 @@
     return call.path
 
 
-def _segments(reading: Reading) -> list[float]:
+def segments(reading: Reading) -> list[float]:
     """Times from which the keeper's store may be another one: it was started on other files than its last."""
     return [
         event.at
@@ -196,16 +196,16 @@
 
 
 def _registers_of(reading: Reading, bounds: Bounds) -> list[Register]:
-    edges = [-math.inf, *_segments(reading), math.inf]
+    edges = [-math.inf, *segments(reading), math.inf]
     calls = calls_of(reading)
     things = _Things(calls)
     held: dict[tuple[str, int], Register] = {}
-    unknown: dict[tuple[str, ...], Call] = {}  # changes of unknown result, by what makes a later one the same
-    known: dict[tuple[str, ...], Call] = {}  # changes that were answered
+    unknown: dict[tuple, Call] = {}  # changes of unknown result, by what makes a later one the same
+    known: dict[tuple, Call] = {}  # changes that were answered
     for call in calls:
-        began = call.began
+        began, place = call.began, _place(edges, call)
         if call.method != "GET" and (call.made or call.maybe):
-            alike = call.method, call.path, call.body, call.key
+            alike = place, call.method, call.path, call.body, call.key
             if call.maybe:
                 unknown.setdefault(alike, call)
             elif alike in known and (call.key or call.revision == known[alike].revision != 0):
@@ -214,7 +214,6 @@
                 known[alike] = call
                 # A repeat's answer may tell of the change that the first try made.
                 began = unknown[alike].began if alike in unknown else began
-        place = _place(edges, call)
         for thing, step in things.steps(call, began):
             parts = [place] if place >= 0 else _places(edges, call) if step.act in DOES else []
             for part in parts:
--- a/gaugehinge/histories/stores.py
+++ b/gaugehinge/histories/stores.py
@@ -9,8 +9,8 @@
 
 from .breaks import Bounds, Break
 from .events import AnyEvent, Connections, Leg, Placed
-from .reading import Reading
-from .registers import calls_of
+from .reading import Reading, between
+from .registers import KEEPER, calls_of, segments
 
 CONFINED = "confined"
 GOOD_FILES = ("", "same", "older", "none")  # with which a process that ends by itself has crashed
@@ -42,15 +42,22 @@
     return found
 
 
-def confined_times(reading: Reading) -> list[tuple[Placed, Placed]]:
+def confined_times(reading: Reading, bounds: Bounds) -> list[tuple[Placed, Placed]]:
     """Times in which a shard pinned with `only` was certainly confined: from one statement to the next like
-    it, with no change of its tenant's things begun between that may have been made."""
-    changed: dict[str, list[float]] = defaultdict(list)
+    it, with no change of its tenant's things under way that may have been made. A change of unknown result
+    counts as under way for `Bounds.unknown` seconds after its end, or until the keeper is killed."""
+    changed: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    killed = [event.at for event in reading.processes if event.name == KEEPER and event.state == "killed"]
     for call in calls_of(reading):
-        if call.method != "GET" and (call.made or call.maybe):
-            parts = call.path.split("/")
-            if len(parts) > 3 and parts[2] == "tenants":
-                changed[parts[3]].append(call.began)
+        parts = call.path.split("/")
+        if call.method != "GET" and (call.made or call.maybe) and len(parts) > 3 and parts[2] == "tenants":
+            until = call.ended
+            if call.maybe:
+                last = call.lines[-1].at
+                dead = next((at for at in killed if at > call.began), math.inf)
+                until = min(last + bounds.unknown, max(dead, last))
+            changed[parts[3]].append((call.began, until))
+    anew = segments(reading)  # a keeper that was set back spreads anew what it had confined
     told: dict[tuple[str, str], list[Placed]] = defaultdict(list)
     for event in reading.placed:
         told[event.tenant, event.shard].append(event)
@@ -60,7 +67,8 @@
         for one, other in zip(events, events[1:], strict=False)
         if one.only and one.stage == other.stage == CONFINED and other.only
         and set(one.zones) == set(other.zones) and set(one.prefixes) == set(other.prefixes)
-        and not reading.between(sorted(changed[tenant]), one.at, other.at)
+        and not any(began <= other.at and until >= one.at for began, until in changed[tenant])
+        and not between(anew, one.at, other.at)
     ]
 
 
@@ -87,7 +95,7 @@
 def _judged(reading: Reading, bounds: Bounds) -> Iterator[tuple[Leg, Placed, Placed]]:
     """Legs at servers whose key was confined, with the statements before and after."""
     times: dict[str, list[tuple[Placed, Placed]]] = defaultdict(list)
-    for pair in confined_times(reading):
+    for pair in confined_times(reading, bounds):
         for prefix in pair[0].prefixes:
             times[prefix].append(pair)
     if not times:
