--- /dev/null
+++ b/gaugehinge/emulator/listparty.py
@@ -0,0 +1,105 @@
+"""Discovery as a process: the list that the play tells it, kept in its file, watched by routers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import trio
+
+from ..net.deadlines import Clock, Deadlines
+from .directory import Directory, Entry
+from .doors import DirectoryDoor
+from .party import DirectoryPart, Listed, say
+
+CAPACITY = 2000.0  # calls a second
+LONGEST_WAIT = 60.0  # seconds of a watch
+
+
+class Kept(msgspec.Struct):
+    """The file."""
+
+    rev: int
+    entries: list[Listed]
+
+
+class ListParty:
+    """Discovery."""
+
+    def __init__(self, part: DirectoryPart, note: Callable[[str], None]) -> None:
+        self.part, self.note = part, note
+        self.path = Path(part.files) / "list"
+        clock = Clock()
+        self.deadlines = Deadlines(clock)
+        self.directory = Directory(self.deadlines, part.lateness, self._noted)
+        kept = self._read()
+        self.directory.rev = kept.rev
+        for each in kept.entries:
+            if each.state == "gone":  # known, so that it can come back
+                self.directory.former[each.uid] = self._entry(each)
+            else:
+                self.directory.put(self._entry(each))
+        for each in part.entries:  # those that no file told of, with nothing said of them yet
+            if each.uid not in self.directory.entries and each.uid not in self.directory.former:
+                self.directory.former[each.uid] = self._entry(each)
+        self._keep()
+
+    def _read(self) -> Kept:
+        try:
+            return msgspec.json.decode(self.path.read_bytes(), type=Kept)
+        except FileNotFoundError:
+            return Kept(self.part.rev, self.part.entries)
+        except (OSError, msgspec.MsgspecError) as bad:
+            self.note(f"list not used: {bad}")
+            return Kept(self.part.rev, [])
+
+    def _entry(self, each: Listed) -> Entry:
+        return Entry(each.uid, each.host, each.kind, each.zone, each.cell, each.state, each.boot_ms)
+
+    def _keep(self) -> None:
+        known = {**self.directory.former, **self.directory.entries}
+        entries = [
+            Listed(e.uid, e.host, e.zone, e.kind, e.cell, e.state, e.boot_ms) for e in known.values()
+        ]
+        try:
+            part = self.path.with_name("list.part")
+            part.write_bytes(msgspec.json.encode(Kept(self.directory.rev, entries)))
+            part.replace(self.path)
+        except OSError as bad:
+            self.note(f"list not kept: {bad}")
+
+    def _noted(self, what: str, *told: Any) -> None:
+        if what == "change":
+            self._keep()
+        elif what == "told":
+            states = {uid: entry.state for uid, entry in self.directory.entries.items()}
+            draining = [uid for uid, state in states.items() if state == "draining"]
+            say(told=told[0], rev=told[1], draining=draining)
+
+    def order(self, told: dict[str, Any]) -> None:
+        """A change of the list, or a time for which discovery answers with an error, is empty or stale."""
+        uid, now = told.get("uid"), self.deadlines.clock()
+        if uid is not None:
+            held = self.directory.entries.get(uid)
+            fields = {"state": told["state"], "boot_ms": told["boot_ms"]}
+            if held is None or any(getattr(held, name) != value for name, value in fields.items()):
+                self.directory.change(uid, **fields)
+        if "down" in told:
+            self.door.outage(now + told["down"])
+        if "stale" in told:
+            self.directory.freeze(now + told["stale"])
+        if "empty" in told:
+            self.directory.empty_until = now + told["empty"]
+
+    async def run(self, nursery: trio.Nursery) -> None:
+        """Answer until cancelled."""
+        self.door = DirectoryDoor(
+            nursery, self.deadlines, self.directory, self.part.seed, CAPACITY, LONGEST_WAIT
+        )
+        self.door.addresses = [tuple(each) for each in self.part.listen]
+        nursery.start_soon(self.deadlines.run)
+        self.door.open()
+        await trio.lowlevel.checkpoint()
+        say(up=True)
