--- a/gaugehinge/rehearsal/mutations.py
+++ b/gaugehinge/rehearsal/mutations.py
@@ -453,7 +453,8 @@
     if gone is None or any(at > gone.at for at in _set_back(reading)):
         return None
     since = _begin(reading, gone)
-    if any(e.body.startswith('{"name') and (e.status == 0 or since < e.at < gone.at) for e in reading.changes):
+    makes = [e for e in reading.changes if e.body.startswith('{"name')]
+    if any(e.status == 0 or since < e.at < gone.at for e in makes):
         return None  # it may have been made again
     rest = [e for e in reading if not (isinstance(e, Change) and e.at > gone.at)]
     idents = {e.ident for e in rest if isinstance(e, Change) and e.status >= 0}
