--- a/gaugehinge/histories/operations.py
+++ b/gaugehinge/histories/operations.py
@@ -204,19 +204,34 @@
     return found
 
 
+def _foreign(op: OpBegan, value: str, spaces: dict[str, set[str]], bounds: Bounds) -> str:
+    """The other tenant in whose space the key is that a value was made up for; empty: none."""
+    if not bounds.born or not value.startswith(bounds.born):
+        return ""
+    key = value.removeprefix(bounds.born)
+    if any(space and key.startswith(space) for space in spaces.get(op.tenant, ())):
+        return ""
+    for name, known in spaces.items():
+        if any(space and key.startswith(space) for space in known):
+            return name
+    return ""
+
+
 def values(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
     """A read that settled gives nothing, what the origin makes up for that key, or what somebody of its
     tenant wrote to that key before."""
     reading, found = Reading.of(history), []
-    written = _written(reading)
+    written, spaces = _written(reading), _spaces(reading)
     for op, end in _read(reading):
         writes = written.get(end.value, ())
         own = [w for w in writes if w.tenant == op.tenant]
         if (writes and not own) or any(w.key == op.key and w.at <= end.at + WROTE for w in own):
             continue  # another tenant's is the matter of `tenants`
-        if not own and bounds.born and end.value.startswith(bounds.born) and end.value.endswith(op.key):
-            continue
-        if not own:
+        if not own and bounds.born and end.value.startswith(bounds.born):
+            if end.value.endswith(op.key) or _foreign(op, end.value, spaces, bounds):
+                continue
+            why = f"read {end.value[:60]!r} at {op.key!r}, which was made up for another key"
+        elif not own:
             why = f"read {end.value[:60]!r} at {op.key!r}, which nobody wrote"
         else:
             why = f"read {end.value[:60]!r}, which was written to {own[0].key!r}"
@@ -234,12 +249,9 @@
         if writes and not any(w.tenant == op.tenant for w in writes):
             why = f"{op.tenant} read {end.value[:60]!r}, which only {writes[0].tenant} wrote"
             found.append(_of(op, "tenants", end.at, why, [*writes[:2], end]))
-        elif not writes and bounds.born and end.value.startswith(bounds.born):
-            space = end.value.removeprefix(bounds.born).removesuffix(op.key)
-            other = next((name for name, known in spaces.items() if name != op.tenant and space in known), "")
-            if other and space not in spaces[op.tenant]:
-                why = f"{op.tenant} read {end.value[:60]!r}, a key in the space of {other}"
-                found.append(_of(op, "tenants", end.at, why, [end]))
+        elif not writes and (other := _foreign(op, end.value, spaces, bounds)):
+            why = f"{op.tenant} read {end.value[:60]!r}, of a key in the space of {other}"
+            found.append(_of(op, "tenants", end.at, why, [end]))
     return found
 
 
--- a/gaugehinge/histories/reading.py
+++ b/gaugehinge/histories/reading.py
@@ -8,7 +8,7 @@
 
 import math
 from bisect import bisect_left, bisect_right
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Sequence
 from functools import cached_property
 from typing import Any
@@ -50,10 +50,26 @@
         """All counts of connections."""
         return self._kinds[Connections]
 
-    @property
+    @cached_property
     def processes(self) -> list[Process]:
-        """All changes of processes."""
-        return self._kinds[Process]
+        """All changes of processes. The end of a former process that is noted only once the next one has
+        started is left out: it was told of before."""
+        told: set[str] = set()  # whose present process was killed or told to end
+        before: Counter[str] = Counter()  # ends of former ones that are still to be noted
+        found = []
+        for event in self._kinds[Process]:
+            if event.state == "started":
+                before[event.name] += event.name in told
+                told.discard(event.name)
+            elif event.state in ("killed", "told_to_end"):
+                told.add(event.name)
+            elif event.state == "ended":
+                if before[event.name]:
+                    before[event.name] -= 1
+                    continue
+                told.discard(event.name)
+            found.append(event)
+        return found
 
     @property
     def changes(self) -> list[Change]:
--- a/gaugehinge/histories/registers.py
+++ b/gaugehinge/histories/registers.py
@@ -205,7 +205,7 @@
     for call in calls:
         began, place = call.began, _place(edges, call)
         if call.method != "GET" and (call.made or call.maybe):
-            alike = place, call.method, call.path, call.body, call.key
+            alike = place, call.method, call.path, call.body, call.if_match, call.key
             if call.maybe:
                 unknown.setdefault(alike, call)
             elif alike in known and (call.key or call.revision == known[alike].revision != 0):
@@ -580,13 +580,16 @@
 
 
 def _least(register: Register, most: int) -> Register:
-    """The same break with as few calls that only look as will do."""
-    steps = list(register.steps)
+    """The same break with as few calls that only look as will do, within as many configurations again."""
+    steps, left = list(register.steps), most
     for step in register.steps:
-        if step.act in DOES or len(steps) > FEW:
+        if step.act in DOES:
             continue
+        if left <= 0:
+            break
         without = Register(register.thing, register.moved, [s for s in steps if s is not step])
-        found = search(without, most)
+        found = search(without, left)
+        left -= found.looked_at
         if found.decided and not found.good:
             steps = without.steps
     return Register(register.thing, register.moved, steps)
--- a/gaugehinge/histories/stores.py
+++ b/gaugehinge/histories/stores.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator, Sequence
 
 from .breaks import Bounds, Break
-from .events import AnyEvent, Connections, Leg, Placed
+from .events import AnyEvent, Connections, Leg, Placed, Process
 from .reading import Reading, between
 from .registers import KEEPER, calls_of, segments
 
@@ -166,17 +166,20 @@
 def crashes(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
     """No process ends that nobody told to, unless it was started on files that it cannot use."""
     reading, found = Reading.of(history), []
-    started: dict[str, tuple[float, str]] = {}
+    started: dict[str, Process] = {}
     told: set[str] = set()
     for event in reading.processes:
         if event.state == "started":
-            started[event.name] = event.at, event.files
+            started[event.name] = event
             told.discard(event.name)
         elif event.state in ("killed", "told_to_end"):
             told.add(event.name)
         elif event.state == "ended" and event.name not in told:
-            at, files = started.get(event.name, (event.at, ""))
-            if files in GOOD_FILES:
-                why = f"ended by itself, {event.at - at:.3f} s after its start"
-                found.append(Break("crashes", event.name, (event.name,), at, event.at, why, (event,)))
+            told.add(event.name)
+            start = started.get(event.name, event)
+            if start.files in GOOD_FILES or start is event:
+                why = f"ended by itself {event.at - start.at:.3f} s after its start"
+                why += f", exit {event.files}" if event.files else ""
+                lines = (event,) if start is event else (start, event)
+                found.append(Break("crashes", event.name, (event.name,), start.at, event.at, why, lines))
     return found
--- /dev/null
+++ b/gaugehinge/rehearsal/broken.py
@@ -0,0 +1,259 @@
+"""The shipped command with one fault put into it, so that the checks of histories are tried on processes.
+
+`python -m gaugehinge.rehearsal.broken MODE serve FILE` is a router that does each third thing of its kind
+wrong, `MODE` one of `ROUTERS`; `... broken MODE keep FILE` a keeper, `MODE` one of `KEEPERS`. `FINDS` tells
+which check has to find which.
+"""
+
+from __future__ import annotations
+
+import os
+import runpy
+import socket
+import sys
+import threading
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from ..admin import service
+from ..net import bulletin
+from ..net.dispatch import Dispatch, Exchange, busy
+from ..net.origin import OriginDialect, Talk
+from ..net.pool import Cargo, Line, RespDialect
+from ..net.resp import MOST_ANSWER, bulk
+from ..terms import Effect, Presence
+
+EACH = 3  # one of so many is done wrong
+OVER = 0.75  # seconds behind the abandon time
+AGAIN = 0.02  # seconds until something is done a second time
+HELD, HOLD_TIME = 80, 1.5  # connections opened beyond all need, and seconds for which they are held
+ENDS_AFTER = 20  # operations
+LEG_TIME = 5.0
+
+FINDS = {
+    "double": "answers", "late": "late", "mute": "unanswered", "twice": "effects_by_id",
+    "unmarked": "effects_by_mark", "ghost": "unasked", "swaps": "bounced_though_ran",
+    "lies": "settled_without_effect", "mixes": "tenants", "crashes": "crashes", "drains": "drains",
+    "opens": "connections", "forgets": "acknowledged", "blind": "registers",
+}
+
+
+class Turns:
+    """Says of each third one that it is to be done wrong."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def wrong(self) -> bool:
+        self.count += 1
+        return self.count % EACH == 0
+
+
+# -- answers
+
+
+def _answers(change: Callable[[Dispatch, Exchange, bytes], bytes | None]) -> None:
+    """Put `change` between a router and its answers; None: it has seen to that itself."""
+    right = Dispatch._answer
+
+    def answer(self: Dispatch, exchange: Exchange, reply: bytes) -> None:
+        if exchange.answered:
+            return
+        told = change(self, exchange, reply)
+        if told is None:
+            exchange.answered = exchange.operation.over = True
+        else:
+            right(self, exchange, told)
+
+    Dispatch._answer = answer
+
+
+def double() -> None:
+    """It answers twice."""
+    turns = Turns()
+    _answers(lambda dispatch, exchange, reply: reply + reply if turns.wrong() else reply)
+
+
+def mute() -> None:
+    """It does not answer."""
+    turns = Turns()
+    _answers(lambda dispatch, exchange, reply: None if turns.wrong() else reply)
+
+
+def late() -> None:
+    """It answers after the abandon time."""
+    turns = Turns()
+
+    def change(dispatch: Dispatch, exchange: Exchange, reply: bytes) -> bytes | None:
+        if not turns.wrong():
+            return reply
+        dispatch.deadlines.at(exchange.operation.abandon + OVER, exchange.answer, reply)
+        return None
+
+    _answers(change)
+
+
+def swaps() -> None:
+    """It says of what ran, and may not run again, that it never did."""
+    turns = Turns()
+
+    def change(dispatch: Dispatch, exchange: Exchange, reply: bytes) -> bytes:
+        ran = exchange.operation.traffic.effect is Effect.UNREPEATABLE and reply[:1] == b"$"
+        return busy(0.1) if ran and turns.wrong() else reply
+
+    _answers(change)
+
+
+def mixes() -> None:
+    """It answers a tenant with what another one read."""
+    turns, last = Turns(), {}
+
+    def change(dispatch: Dispatch, exchange: Exchange, reply: bytes) -> bytes:
+        operation = exchange.operation
+        if operation.write or reply[:1] != b"$":
+            return reply
+        last[operation.tenant] = reply
+        other = next((told for tenant, told in last.items() if tenant != operation.tenant), None)
+        return other if other is not None and turns.wrong() else reply
+
+    _answers(change)
+
+
+def lies() -> None:
+    """It says that a write is done, and sends it nowhere."""
+    turns, right = Turns(), Dispatch._ask
+
+    def ask(self: Dispatch, exchange: Exchange) -> None:
+        if exchange.operation.write and not exchange.operation.legs and turns.wrong():
+            self._answer(exchange, bulk(b"done"))
+            self._drop(exchange)
+        else:
+            right(self, exchange)
+
+    Dispatch._ask = ask
+
+
+def crashes() -> None:
+    """It ends by itself."""
+    count = 0
+
+    def change(dispatch: Dispatch, exchange: Exchange, reply: bytes) -> bytes:
+        nonlocal count
+        count += 1
+        if count > ENDS_AFTER:
+            os._exit(3)
+        return reply
+
+    _answers(change)
+
+
+# -- legs
+
+
+def _again(change: Callable[[Cargo], tuple[bytes, bytes] | None]) -> None:
+    """Send a write to the origin a second time, where `change` gives the id and the labels for that."""
+    turns, right = Turns(), OriginDialect.command
+
+    def command(self: OriginDialect, line: Line, cargo: Cargo, left: float) -> bytes:
+        told = change(cargo) if cargo.value is not None else None
+        if told is not None and turns.wrong():
+            headers = [("Host", b"origin"), ("X-Txn", told[0]), ("X-Labels", told[1])]
+            data = Talk(MOST_ANSWER).request("PUT", "/" + quote(cargo.key, safe=""), headers, cargo.value)
+            threading.Thread(target=_send, args=(line.place.endpoint, data), daemon=True).start()
+        return right(self, line, cargo, left)
+
+    OriginDialect.command = command
+
+
+def _send(where: tuple[str, int], data: bytes) -> None:
+    time.sleep(AGAIN)
+    with suppress(OSError), socket.create_connection(where, LEG_TIME) as raw:
+        raw.sendall(data)
+        raw.recv(65536)
+
+
+def twice() -> None:
+    """It runs a second time what may not be repeated."""
+    _again(lambda cargo: (cargo.ident, cargo.told) if b"c=book" in cargo.told else None)
+
+
+def unmarked() -> None:
+    """It runs a deduplicated write a second time, without its mark."""
+
+    def change(cargo: Cargo) -> tuple[bytes, bytes] | None:
+        labels = cargo.told.split(b",")
+        rest = [label for label in labels if not label.startswith(b"k=")]
+        return (cargo.ident, b",".join(rest)) if len(rest) < len(labels) else None
+
+    _again(change)
+
+
+def ghost() -> None:
+    """It writes under an id that no client ever used."""
+    _again(lambda cargo: (cargo.ident + b"-nobody", cargo.told) if b"c=put" in cargo.told else None)
+
+
+def drains() -> None:
+    """It goes on with servers that drain."""
+    bulletin.PRESENCES["draining"] = Presence.UP
+
+
+def opens() -> None:
+    """It opens more connections to a server than that bears."""
+    right, begun = RespDialect.command, []
+
+    def command(self: RespDialect, line: Line, cargo: Cargo, left: float) -> Any:
+        if not begun:
+            begun.append(True)
+            threading.Thread(target=_hold, args=(line.place.endpoint,), daemon=True).start()
+        return right(self, line, cargo, left)
+
+    RespDialect.command = command
+
+
+def _hold(where: tuple[str, int]) -> None:
+    held = []
+    for _ in range(HELD):
+        with suppress(OSError):
+            held.append(socket.create_connection(where, LEG_TIME))
+    time.sleep(HOLD_TIME)
+    for raw in held:
+        raw.close()
+
+
+# -- the keeper
+
+
+def forgets() -> None:
+    """It acknowledges changes of a tenant and does not keep them."""
+
+    async def change(self: Any, name: str, told: Any, if_match: int, who: str) -> Any:
+        held = await self.tenant(name)
+        all_ = msgspec.structs.asdict(told)
+        figures = {name: value for name, value in all_.items() if value is not msgspec.UNSET}
+        return msgspec.structs.replace(held, revision=self.keeper.rev + 1, **figures)
+
+    service.Administration.change = change
+
+
+def blind() -> None:
+    """It makes changes whatever revision they were made for."""
+    right = service._expected
+    service._expected = lambda store, name, if_match: right(store, name, None)
+
+
+ROUTERS = {
+    each.__name__: each
+    for each in (double, mute, late, swaps, mixes, lies, crashes, twice, unmarked, ghost, drains, opens)
+}
+KEEPERS = {each.__name__: each for each in (forgets, blind)}
+
+
+if __name__ == "__main__":
+    {**ROUTERS, **KEEPERS}[sys.argv.pop(1)]()
+    runpy.run_module("gaugehinge.cli", run_name="__main__", alter_sys=True)
