--- a/gaugehinge/histories/reading.py
+++ b/gaugehinge/histories/reading.py
@@ -9,7 +9,7 @@
 import math
 from bisect import bisect_left, bisect_right
 from collections import Counter, defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from functools import cached_property
 from typing import Any
 
@@ -193,6 +193,22 @@
         return any(began <= until and ended >= since for began, ended in times)
 
 
+class Spans:
+    """Times from one moment to another, to ask whether one of them touches a third."""
+
+    def __init__(self, times: Iterable[tuple[float, float]]) -> None:
+        self.begins: list[float] = []
+        self.last: list[float] = []  # the latest end of those up to here
+        for began, ended in sorted(times):
+            self.begins.append(began)
+            self.last.append(max(ended, self.last[-1]) if self.last else ended)
+
+    def any(self, since: float, until: float) -> bool:
+        """Whether one of them has a part in that time."""
+        at = bisect_right(self.begins, until)
+        return at > 0 and self.last[at - 1] >= since
+
+
 def between(times: Sequence[float], since: float, until: float) -> bool:
     """Whether any of the sorted times lies within."""
     at = bisect_left(times, since)
--- a/gaugehinge/histories/registers.py
+++ b/gaugehinge/histories/registers.py
@@ -26,7 +26,7 @@
 
 from .breaks import Bounds, Break
 from .events import AnyEvent, Change
-from .reading import Reading
+from .reading import Reading, Spans
 
 VERBS = ("activate", "suspend", "drain", "restore", "pause", "resume", "cancel", "stop", "move", "go-on")
 KEEPER = "keeper"
@@ -320,8 +320,8 @@
     sure = sorted(
         (s for s in steps if s.needed and s.act in (Act.READ, Act.WRITE, Act.REMOVE)), key=lambda s: s.ended
     )
-    makers = _Spans([s for s in steps if s.act is Act.WRITE and s.creates])
-    removes = _Spans([s for s in steps if s.act is Act.REMOVE])
+    makers = Spans((s.began, s.ended) for s in steps if s.act is Act.WRITE and s.creates)
+    removes = Spans((s.began, s.ended) for s in steps if s.act is Act.REMOVE)
     highest: Step | None = None  # by revision, of those acknowledged or read before
     there: Step | None = None  # the change that began last, of those acknowledged before
     gone: Step | None = None  # the removal that began last, of those acknowledged before
@@ -355,22 +355,6 @@
             yield _broken(register, "acknowledged", why, [write, read])
 
 
-class _Spans:
-    """Times of calls, to ask whether one may have taken place after one time and before another."""
-
-    def __init__(self, steps: list[Step]) -> None:
-        steps = sorted(steps, key=lambda s: s.began)
-        self.begins = [s.began for s in steps]
-        self.last: list[float] = []  # the latest end of those up to here
-        for step in steps:
-            self.last.append(max(step.ended, self.last[-1]) if self.last else step.ended)
-
-    def any(self, after: float, before: float) -> bool:
-        """Whether one of them may have taken place in that time."""
-        at = bisect_left(self.begins, before)
-        return at > 0 and self.last[at - 1] > after
-
-
 def _later(one: Step, other: Step) -> str:
     return f"{other.call.ended - one.call.ended:.3f} s later"
 
--- a/gaugehinge/histories/stores.py
+++ b/gaugehinge/histories/stores.py
@@ -9,7 +9,7 @@
 
 from .breaks import Bounds, Break
 from .events import AnyEvent, Connections, Leg, Placed, Process
-from .reading import Reading, between
+from .reading import Reading, Spans, between
 from .registers import KEEPER, calls_of, segments
 
 CONFINED = "confined"
@@ -57,6 +57,7 @@
                 dead = next((at for at in killed if at > call.began), math.inf)
                 until = min(last + bounds.unknown, max(dead, last))
             changed[parts[3]].append((call.began, until))
+    spans = {tenant: Spans(times) for tenant, times in changed.items()}
     anew = segments(reading)  # a keeper that was set back spreads anew what it had confined
     told: dict[tuple[str, str], list[Placed]] = defaultdict(list)
     for event in reading.placed:
@@ -67,7 +68,7 @@
         for one, other in zip(events, events[1:], strict=False)
         if one.only and one.stage == other.stage == CONFINED and other.only
         and set(one.zones) == set(other.zones) and set(one.prefixes) == set(other.prefixes)
-        and not any(began <= other.at and until >= one.at for began, until in changed[tenant])
+        and not (tenant in spans and spans[tenant].any(one.at, other.at))
         and not between(anew, one.at, other.at)
     ]
 
--- a/gaugehinge/rehearsal/invented.py
+++ b/gaugehinge/rehearsal/invented.py
@@ -419,10 +419,10 @@
             return "forfeited", ""  # whether its mark outlived the power loss is not known: no leg
         server = self._server(came, tenant, key) if not write or draw.random() < 0.3 else None
         if server is not None:
-            told = world.drained.get(server, 1e9) + int(router[-1]) * 0.02
+            told = world.drained.get(server, 1e9) + _number(router) * 0.02
             cold = came - self._started(server, came) < 0.5
             world.put(Leg(
-                came, server, server, ZONES[int(server[-1]) % 3], ident, SPACES[tenant] + key, write, mark,
+                came, server, server, _zone(server), ident, SPACES[tenant] + key, write, mark,
                 False, cold, came > told, told if came > told else 0.0,
             ))
         if world.during(world.down, "origin", came, came + 0.002):
@@ -445,7 +445,7 @@
             zones = world.placed(at)[1]
         fit = [
             name for n in range(world.servers)
-            if ZONES[n % 3] in zones and not world.during(world.down, name := f"server-{n}", at, at)
+            if _zone(name := f"server-{n}") in zones and not world.during(world.down, name, at, at)
             and at < world.drained.get(name, 1e9) + BOUNDS.drain * 0.9
         ]
         return self.draw.choice(fit) if fit else None
@@ -455,6 +455,14 @@
         return max(spans, default=-9.0)
 
 
+def _number(name: str) -> int:
+    return int(name.partition("-")[2])
+
+
+def _zone(server: str) -> str:
+    return ZONES[_number(server) % len(ZONES)]
+
+
 def _connections(world: World) -> None:
     """Each limited store's own count, up and down within its limit."""
     draw = world.draw
