--- a/gaugehinge/emulator/link.py
+++ b/gaugehinge/emulator/link.py
@@ -156,7 +156,8 @@
 
     def look(self) -> None:
         """Listen, or do not."""
-        wanted = self.there and self.fault.state is not State.REFUSED
+        silent = self.holds(True) or self.holds(False)  # then nobody learns that the other side is gone
+        wanted = (self.there or silent) and self.fault.state is not State.REFUSED
         if wanted and self.listening is None:
             self.listening = listener(self.at, BACKLOG)
             self.nursery.start_soon(self._accept, self.listening)
@@ -197,13 +198,15 @@
                 far = joint.far = tcp(self.to)
                 if self.source:
                     far.bind((self.source, 0))
-                await connect(far, self.to)
+                try:
+                    await connect(far, self.to)
+                except ConnectionRefusedError:
+                    self.reach(False)
+                    await self.free(False)
+                    raise
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._pass, joint, joint.near, far, True)
                     nursery.start_soon(self._pass, joint, far, joint.near, False)
-        except ConnectionRefusedError:
-            self.reach(False)
-            joint.reset()
         except (OSError, trio.ClosedResourceError):
             joint.reset()
         finally:
--- a/gaugehinge/rehearsal/company.py
+++ b/gaugehinge/rehearsal/company.py
@@ -36,7 +36,7 @@
 
 from ..admin.service import Administration
 from ..admin.types import NewTenant
-from ..emulator.link import Fault, Links
+from ..emulator.link import Fault, Links, State
 from ..emulator.party import DirectoryPart, Listed, OriginPart, Part, ServerPart
 from ..histories.checks import Bounds
 from ..histories.events import Change, Link, Process, Recorder
@@ -57,6 +57,7 @@
 LATENESS = 0.05  # seconds until its list tells what it knows
 OLD_LIST = 2.0  # seconds for which a discovery that is back with older files tells these
 READY_BY = 60.0  # seconds in which a process starts, on a machine with whatever load
+ROOT_TOLD = "operator root, shown this once: "
 TENANTS_MOST = 64
 ORIGIN_PART = 10.0  # the origin's work beside a server's
 REV_STEP = 1000  # between the versions of two starts of a discovery that lost its file
@@ -135,6 +136,7 @@
         self.children: dict[str, Child] = {}
         self.listed: dict[str, Listed] = {}  # what is true of servers and origin
         self.drains: dict[str, set[str]] = {}  # servers that each router was told to be draining
+        self.dark: set[str] = set()  # killed with their machines, and not back
         self.desks = 0
         self.crowd = Crowd(
             nursery, seed, [ground.door(number) for number in range(plan.routers)], self.secrets,
@@ -293,14 +295,26 @@
     def _start(self, name: str, files: str) -> None:
         child = self.children[name]
         child.prepare(files)
+        if name in self.dark:
+            self._light(name)
         if name == "discovery":
             self._write_list(child.starts)
         if name in self.listed and child.starts:
             self._cold_start(name)
         child.spawn()
         self._note(name, "started", files)
-        self.nursery.start_soon(self._watch, child, child.process.pid)
-        self.nursery.start_soon(self._rise, child, child.starts)
+        self.nursery.start_soon(self._watch, child, os.pidfd_open(child.process.pid), child.starts)
+        if child.speaks:  # the reader has a descriptor of its own: the process's is closed when it is reaped
+            self.nursery.start_soon(self._hear, child, os.dup(child.process.stdout.fileno()))
+        else:
+            self.nursery.start_soon(self._rise, child, child.starts)
+
+    def _light(self, name: str) -> None:
+        """Its machine is there again, which knows nothing of the connections that it had."""
+        self.dark.discard(name)
+        for one, other in self.links.all:
+            if name in (one, other) and not {one, other} & self.dark:
+                self.link(one, other, Fault())
 
     def _cold_start(self, name: str) -> None:
         path = self.folder / f"{name}.json"
@@ -308,18 +322,23 @@
         if part["role"] == "server" and not part["starts_cold"]:
             path.write_text(json.dumps({**part, "starts_cold": True}))
 
-    async def _watch(self, child: Child, pid: int) -> None:
+    async def _watch(self, child: Child, number: int, start: int) -> None:
         """Until it has ended, whoever ended it."""
-        over = child.over
-        code = await child.ended()
-        self._gone(child.name)
-        self._note(child.name, "ended", str(code))
-        over.set()
+        await child.ended(number)
+        if child.starts == start:
+            self._ended(child)
         if child.name in self.listed:
             await trio.sleep(NOTICE)
             if not child.runs or not child.up.is_set():
                 self._tell_list(child.name, state="gone")
 
+    def _ended(self, child: Child) -> None:
+        """It is gone; once for each start."""
+        if not child.over.is_set():
+            child.over.set()
+            self._gone(child.name)
+            self._note(child.name, "ended")
+
     def _gone(self, name: str) -> None:
         """Its machine refuses connections from here on."""
         self.links.reach(name, False)
@@ -328,9 +347,6 @@
 
     async def _rise(self, child: Child, start: int) -> None:
         """A process that has started, until it serves."""
-        if child.speaks:
-            await self._hear(child)
-            return
         serves = self._keeper_serves if child.name == "keeper" else self._router_serves
         with trio.move_on_after(READY_BY) as limit:
             while child.runs and child.starts == start:
@@ -346,13 +362,16 @@
             self._is_up(child)
 
     def _is_up(self, child: Child) -> None:
+        if child.name == "keeper":  # on an empty store it made a new first operator
+            told = [line for line in self.log("keeper").splitlines() if line.startswith(ROOT_TOLD)]
+            self.root = told[-1].removeprefix(ROOT_TOLD) if told else self.root
         self.links.reach(child.name, True)
         self._note(child.name, "ready")
         child.up.set()
 
-    async def _hear(self, child: Child) -> None:
+    async def _hear(self, child: Child, number: int) -> None:
         """What a played party says, until its end."""
-        stream, buffer = trio.lowlevel.FdStream(_own_copy(child.process.stdout)), b""
+        stream, buffer = trio.lowlevel.FdStream(number), b""
         async with stream:
             while data := await stream.receive_some():
                 *lines, buffer = (buffer + data).split(b"\n")
@@ -509,12 +528,16 @@
             if link.fault != Fault():
                 self.link(one, other, Fault())
 
-    def kill(self, *names: str) -> None:
-        """SIGKILL, all at one instant."""
+    def kill(self, *names: str, silent: bool = False) -> None:
+        """SIGKILL, all at one instant. `silent`: as if their machines were lost: nobody is told by a reset,
+        connections stand open at the others until these start again."""
         at = self.recorder.now()
         running = [name for name in names if self.children[name].runs]
+        for name in running if silent else ():
+            self.dark.add(name)
+            self.link(name, "*", Fault(State.SILENT))
         for name in running:
-            self.children[name].signal(signal.SIGKILL)
+            self.children[name].kill()
         for name in running:
             self._gone(name)
             self._note(name, "killed", at=at)
@@ -553,35 +576,30 @@
         """Start anew on its files: `same`, `older` (of `keep_copy`), `torn`, `empty`, `unwritable`, `none`;
         with a wall clock that is off by seconds, where told. One that runs is not started again."""
         child = self.children[name]
-        if child.runs and child.process.poll() is None and not self._dying(name):
+        if child.runs and not child.killed:
             return
         child.reap()
+        if child.starts:
+            self._ended(child)
         if wall_off is not None:
             child.wall_off = wall_off
         if name == "discovery":
             self._list_pause = OLD_LIST if files == "older" else 0.0
         self._start(name, files)
 
-    def _dying(self, name: str) -> bool:
-        """Killed, and not gone yet."""
-        try:
-            state = Path(f"/proc/{self.children[name].process.pid}/status").read_text()
-        except OSError:
-            return True
-        pending = [line for line in state.splitlines() if line.startswith("ShdPnd:")]
-        return any(int(line.split()[1], 16) >> (signal.SIGKILL - 1) & 1 for line in pending)
-
     def keep_copy(self, name: str) -> None:
         """Keep its files as they are now, for a later start with `older`."""
         self.children[name].keep_copy()
 
-    def power_loss(self, zone: str = "") -> None:
-        """Everything (of a zone) killed at one instant; marks and memories of servers are gone."""
+    def power_loss(self, zone: str = "", silent: bool = False) -> None:
+        """Everything (of a zone) killed at one instant; marks and memories of servers are gone. `silent`: as
+        in `kill`."""
         names = [name for name, child in self.children.items() if not zone or child.zone == zone]
-        self.kill(*names)
+        self.kill(*names, silent=silent)
         for name in names:
             child = self.children[name]
             child.reap()
+            self._ended(child)
             if (name in self.listed or name == "origin") and child.files.is_dir():
                 child.forget("marks")
 
@@ -616,7 +634,7 @@
     def close(self) -> None:
         """All processes end; nothing is left of the company but its folder."""
         for child in self.children.values():
-            child.signal(signal.SIGKILL)
+            child.kill()
         for child in self.children.values():
             with suppress(Exception):
                 child.reap()
@@ -631,11 +649,6 @@
     return f"{address[0]}:{address[1]}"
 
 
-def _own_copy(pipe: Any) -> int:
-    """A descriptor that is the reader's own: the process's pipe is closed when it is reaped."""
-    return os.dup(pipe.fileno())
-
-
 def _write(child: Child, told: dict[str, Any], more: dict[str, Any], number: int) -> None:
     words = {"name": child.name, "files": str(child.files), "number": str(number)}
     merged = _merged(told, _filled(more, words))
--- a/gaugehinge/rehearsal/ground.py
+++ b/gaugehinge/rehearsal/ground.py
@@ -107,6 +107,7 @@
     over: trio.Event = field(default_factory=trio.Event)
     starts: int = 0
     paused: bool = False
+    killed: bool = False  # perhaps not gone yet
     wall_off: float = 0.0  # seconds, of its wall clock
 
     @property
@@ -124,7 +125,8 @@
         if self.wall_off and words[0] == "gaugehinge.cli":
             words[:1] = ["gaugehinge.rehearsal.skewed", repr(self.wall_off)]
         self.starts += 1
-        self.up, self.over, self.paused = trio.Event(), trio.Event(), False
+        self.up, self.over = trio.Event(), trio.Event()
+        self.paused = self.killed = False
         with (self.folder / f"{self.name}.log").open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", *words],
@@ -133,11 +135,17 @@
                 env={**os.environ, "PYTHONPATH": str(ROOT), "PYTHONUNBUFFERED": "1"},
                 cwd=ROOT, start_new_session=True, preexec_fn=_die_with_parent,
             )
+        if self.speaks:  # one that stands still does not read; nobody may wait for it
+            os.set_blocking(self.process.stdin.fileno(), False)
 
     def signal(self, number: int) -> None:
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def kill(self) -> None:
+        self.killed = True
+        self.signal(signal.SIGKILL)
+
     def reap(self) -> None:
         """Until it is gone, after a kill."""
         if self.process is not None:
@@ -147,15 +155,14 @@
                     with suppress(OSError):
                         pipe.close()
 
-    async def ended(self) -> int:
-        """Until it has ended, whoever ended it; its exit code."""
+    async def ended(self, number: int) -> None:
+        """Until it has ended, whoever ended it. `number`: of its process descriptor, closed here."""
         process = self.process
-        number = os.pidfd_open(process.pid)
         try:
             await trio.lowlevel.wait_readable(number)
         finally:
             os.close(number)
-        return process.wait()
+        process.wait()
 
     def tell(self, line: bytes) -> None:
         """An order to a party that hears them; one that has ended hears nothing."""
