--- a/gaugehinge/emulator/listparty.py
+++ b/gaugehinge/emulator/listparty.py
@@ -32,6 +32,7 @@
         self.part, self.note = part, note
         self.path = Path(part.files) / "list"
         clock = Clock()
+        self.door: DirectoryDoor | None = None  # until it serves
         self.deadlines = Deadlines(clock)
         self.directory = Directory(self.deadlines, part.lateness, self._noted)
         kept = self._read()
@@ -86,7 +87,7 @@
             fields = {"state": told["state"], "boot_ms": told["boot_ms"]}
             if held is None or any(getattr(held, name) != value for name, value in fields.items()):
                 self.directory.change(uid, **fields)
-        if "down" in told:
+        if "down" in told and self.door is not None:
             self.door.outage(now + told["down"])
         if "stale" in told:
             self.directory.freeze(now + told["stale"])
--- a/gaugehinge/histories/events.py
+++ b/gaugehinge/histories/events.py
@@ -51,10 +51,10 @@
 
     server: str
     zone: str
-    ident: str
+    ident: str  # as its client wrote it, without the tenant's own space
     key: str  # with the tenant's own space before it, as it came
     write: bool
-    mark: str = ""
+    mark: str = ""  # likewise
     effect: bool = False  # whether it changed what is stored; a repeat of a known mark does not
     cold: bool = False  # the server had started less than its warm-up ago
     draining: bool = False  # the list had told so, to the router that sent it (`told_at`)
