--- a/gaugehinge/emulator/link.py
+++ b/gaugehinge/emulator/link.py
@@ -344,7 +344,7 @@
     def __init__(
         self, nursery: trio.Nursery, seed: int, note: Callable[[str, str, Fault], None]
     ) -> None:
-        """`note` gets each change, as it was told."""
+        """`note` gets the change of each link, with its sides as they stand there."""
         self.nursery = nursery
         self.seed = seed
         self.note = note
@@ -370,15 +370,16 @@
         found = 0
         for (first, second), link in self.all.items():
             if _fits(one, first) and _fits(other, second):
-                link.put(fault)
+                told = fault
             elif _fits(one, second) and _fits(other, first):
-                link.put(fault.turned())
+                told = fault.turned()
             else:
                 continue
+            link.put(told)
+            self.note(first, second, told)
             found += 1
         if not found:
             raise KeyError(f"no link between {one} and {other}")
-        self.note(one, other, fault)
         return found
 
     def reach(self, other: str, there: bool) -> None:
--- a/gaugehinge/rehearsal/company.py
+++ b/gaugehinge/rehearsal/company.py
@@ -106,7 +106,8 @@
         put, now, party = self.recorder.put, self.recorder.now, self.recorder.party
         what = (f"{party}-{self.calls}", request.method, request.url.raw_path.decode())
         body, told = request.content.decode(), request.headers.get("if-match", "")
-        put(Change(now(), party, *what, body, told))
+        key = request.headers.get("idempotency-key", "")
+        put(Change(now(), party, *what, body, told, key=key))
         status, answer, revision = 0, "", 0
         try:
             response = await super().handle_async_request(request)
@@ -116,7 +117,7 @@
             revision = int(tag) if tag.isdigit() else 0
             return response
         finally:
-            put(Change(now(), party, *what, body, told, status, answer, revision))
+            put(Change(now(), party, *what, body, told, status, answer, revision, key))
 
 
 class Company:
@@ -337,7 +338,7 @@
         if not child.over.is_set():
             child.over.set()
             self._gone(child.name)
-            self._note(child.name, "ended")
+            self._note(child.name, "ended", str(child.process.poll()))
 
     def _gone(self, name: str) -> None:
         """Its machine refuses connections from here on."""
