--- a/gaugehinge/emulator/listparty.py
+++ b/gaugehinge/emulator/listparty.py
@@ -93,6 +93,18 @@
             self.directory.freeze(now + told["stale"])
         if "empty" in told:
             self.directory.empty_until = now + told["empty"]
+            self.deadlines.at(self.directory.empty_until, self._whole_again)
+
+    def _whole_again(self) -> None:
+        """Those that were told an empty list, at this version, are told the whole at a new one."""
+        directory = self.directory
+        if self.deadlines.clock() < directory.empty_until:
+            return
+        directory.rev += 1
+        directory.changes.clear()
+        waiting, directory.waiting = directory.waiting, set()
+        for wake in waiting:
+            wake()
 
     async def run(self, nursery: trio.Nursery) -> None:
         """Answer until cancelled."""
