--- a/tests/test_company.py
+++ b/tests/test_company.py
@@ -9,7 +9,10 @@
 import trio
 from children import child
 
+from gaugehinge.emulator.cacheparty import FALL_TIME, CacheParty
 from gaugehinge.emulator.link import Fault, State
+from gaugehinge.emulator.machine import Strain
+from gaugehinge.emulator.party import ServerPart
 from gaugehinge.histories.breaks import Bounds
 from gaugehinge.histories.checks import check
 from gaugehinge.histories.events import (
@@ -20,6 +23,7 @@
     OpBegan,
     OpEnded,
     Process,
+    Recorder,
     read_history,
 )
 from gaugehinge.histories.stores import connections
@@ -187,6 +191,41 @@
     assert not late and any(leg.server == "server-1" and leg.at > at[0] for leg in legs)
 
 
+def test_a_played_server_is_cold_falls_over_and_remembers_marks_but_not_without_power(tmp_path):
+    part = ServerPart(
+        "server-0", str(tmp_path), str(tmp_path), "127.0.0.1", 0, {}, "a", True, 0.001, 0, 60.0, 9.0, True,
+        True,
+    )
+
+    def set_of(ident: str) -> list[bytes]:
+        return [b"KV.SET", b"5/k", f"5.{ident}".encode(), b"c=move,d=9,k=5.m", b"v"]
+
+    async def scene():
+        with trio.fail_after(LIFE):
+            recorder = Recorder(tmp_path, "server-0")
+            first = CacheParty(part, recorder, str)
+            assert b"done i1" in await first.answer(set_of("i1"), "router-0")
+            second = CacheParty(part, recorder, str)  # killed, and started on the same files
+            assert b"done i1" in await second.answer(set_of("i2"), "router-0")
+            get = [b"KV.GET", b"5/k", b"5.i3", b"c=read,d=9"]
+            assert b"miss" in await second.answer(get, "router-1")
+            (tmp_path / "marks").unlink()
+            third = CacheParty(part, recorder, str)
+            assert b"done i4" in await third.answer(set_of("i4"), "router-0")
+            now = recorder.now()
+            third.strain = Strain(FALL_TIME, now - 2 * FALL_TIME)
+            third.strain.add(10 * part.cores * FALL_TIME, now)
+            with trio.move_on_after(0.05):
+                await third.answer(get, "router-1")
+            assert third.fallen.is_set()
+
+    trio.run(scene)
+    legs = list(read_history(tmp_path))
+    assert [(leg.ident, leg.mark, leg.effect, leg.cold) for leg in legs] == [
+        ("i1", "m", True, True), ("i2", "m", False, True), ("i3", "", False, True), ("i4", "m", True, True),
+    ]
+
+
 def test_a_plan_of_faults_is_the_seeds_and_shrinks_to_what_breaks():
     plan = Plan()
     kinds = (*KINDS, "zone", "power")
