--- a/gaugehinge/rehearsal/company.py
+++ b/gaugehinge/rehearsal/company.py
@@ -338,7 +338,7 @@
         if not child.over.is_set():
             child.over.set()
             self._gone(child.name)
-            self._note(child.name, "ended")
+            self._note(child.name, "ended", str(child.process.poll()))
 
     def _gone(self, name: str) -> None:
         """Its machine refuses connections from here on."""
