--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -298,14 +298,13 @@
         self.rings: list[list[int]] = []  # walked one after the other: all, or the own zone before all
         self.owners: dict[int, Cache] = {}  # by point
         self.moved: list[Cache] = []  # emptied when the ring has followed the list
+        self.regions: dict[frozenset[str], tuple] = {}  # emptied with each change of what is ready
         self.fading: list[Cache] = []
         self.next_return = inf
         self.ready: list[Cache] = []  # up and not aside
-        self.total = 0.0
-        self.width = 1.0  # sum of the ready shares, by weight
-        self.size = 1.0  # sum of the ready weights
+        self.total = self.mean_delay = 0.0
+        self.width = self.size = 1.0  # sums of the ready shares, by weight, and of the ready weights
         self.told = 0.0  # mean of what caches tell that they hold
-        self.mean_delay = 0.0
         self.latency = Latency(now, ALIKE_KEEP)  # of all caches
         self.next_bucket, self.bucket = now, 0
         self.rate = Rate(now)  # of the legs that caches answered
@@ -373,8 +372,7 @@
             if held is not None:
                 self._hear_load(cache, held / cache.weight, now)
             self._learn_cache(leg, outcome, elapsed, now)
-        if over:
-            operation.over = True
+        operation.over = operation.over or over
         if not operation.over:
             if outcome.may_have_run and operation.ran_at is None:
                 operation.ran_at, operation.ran_since = cache, leg.sent
@@ -398,14 +396,12 @@
     def hear_list(self, listings: list[Listing], whole: bool, held: bool, now: float) -> None:
         """The list or its changes; `held` is the one that this router kept over its restart."""
         if not held:
-            self.list_heard = True
-            self.list_failures = 0
-        named = set()
+            self.list_heard, self.list_failures = True, 0
+        named = {listing.ident for listing in listings}
         if self.deployment.weighted and not self.usual_weight:
             told = sorted(each.weight for each in listings if each.weight > 0.0)
             self.usual_weight = told[len(told) // 2] if told else 0.0
         for listing in listings:
-            named.add(listing.ident)
             self._hear_server(listing, now)
         if whole:
             for ident in [i for i in self.caches if i not in named]:
@@ -448,19 +444,21 @@
     def gone(self, operation: Operation) -> list[Leg]:
         """The client left. Returns the legs to call off."""
         operation.over = True
-        if operation.joined:
-            self._unjoin(operation)
+        self._unjoin(operation)
         self._leave_line(operation)
         return [leg for leg in operation.legs if leg.out and self.deployment.may_cancel]
 
     # ---------------------------------------------------------------- the ordinary path: the ring walk
 
-    def _walk(self, operation: Operation, now: float) -> Cache | None:
-        """Clockwise from the key's place, past each cache over the bound."""
+    def _walk(self, operation: Operation, now: float, region: frozenset[str] | None) -> Cache | None:
+        """Clockwise from the key's place, past each cache over the bound; in a region, on its own rings."""
         if not self.points:
             return None
         operation.asked = now
-        bound = max(LEAST_BOUND, FACTOR * self.total / self.width)
+        rings, total, width = self.rings, self.total, self.width
+        if region is not None:
+            rings, total, width = self._within(region)
+        bound = max(LEAST_BOUND, FACTOR * total / width)
         key = xxh64_intdigest(operation.key)
         if operation.among is not None:
             return self._walk_among(operation, key, bound)
@@ -469,7 +467,6 @@
         self.walks = walk = self.walks + 1
         passed = hops = 0
         least = spare = None
-        rings = self.rings
         if len(rings) > 1 and ((key * MIX) & MASK) / SCALE >= self.own.keep:
             rings = rings[1:]  # a crowded zone gives up keys, always the same ones
         for points in rings:
@@ -497,6 +494,15 @@
             most, hops = passed + most, 0
         return least or spare  # a joining cache within its budget, rather than none
 
+    def _within(self, region: frozenset[str]) -> tuple[list[list[int]], float, float]:
+        """The rings as far as they lie in a region; the load and the width of what is ready there."""
+        if region not in self.regions:
+            parts = [[p for p in points if self.owners[p].zone in region] for points in self.rings]
+            self.regions[region] = [p for p in parts if p], [c for c in self.ready if c.zone in region]
+        rings, ready = self.regions[region]
+        width = sum([c.share * c.weight for c in ready])
+        return rings, sum([c.load * c.weight for c in ready]), max(width, 0.01)
+
     def _start(self, points: list[int], key: int) -> int:
         """Where the walk starts: of the key's few starts one with an idle connection, that tells of least.
 
@@ -597,9 +603,8 @@
 
     def _may_join(self, cache: Cache, operation: Operation) -> bool:
         """Whether a joining cache has budget left for a key that its draw does not give it yet."""
-        if cache.tokens < 1.0 or cache.aside_until or cache in operation.tried:
-            return False
-        return operation.ran_at is None or self._drops_repeats(cache, operation)
+        free = cache.tokens >= 1.0 and not cache.aside_until and cache not in operation.tried
+        return free and (operation.ran_at is None or self._drops_repeats(cache, operation))
 
     def _may_take(self, cache: Cache, operation: Operation, key: int) -> bool:
         """Whether this cache is there for this key at all, whatever its load."""
@@ -608,9 +613,7 @@
         # Learnt cache by cache, a lost zone costs a sparse router its time-outs as often as it has caches.
         if cache.near.out and len(cache.near.failed) >= ZONE_LOST and len(self.zones) > 1:
             return False
-        if cache.full_until > operation.asked:
-            return False
-        if self._is_full(cache, operation.asked):
+        if cache.full_until > operation.asked or self._is_full(cache, operation.asked):
             return False
         part = cache.share * (cache.kind.keep if operation.among is None else 1.0)
         if part < 1.0:
@@ -738,8 +741,7 @@
         if cache.late > CROWDED:
             # Held at even one leg from each of many routers, a crowded cache that slows down stays so.
             cache.full_until = max(cache.full_until, now + CROWD_REST * elapsed * self._chance())
-        lone = outcome is Outcome.TIMED_OUT and cache.answered_at <= leg.sent and self.excused >= 1.0
-        if lone:
+        if outcome is Outcome.TIMED_OUT and cache.answered_at <= leg.sent and self.excused >= 1.0:
             # A lost zone's time-outs closed the valves of all routers, and kept them closed long after it.
             self.excused -= 1.0
         elif outcome not in (Outcome.MISSED, Outcome.CALLED_OFF, *REDIRECTED):
@@ -850,14 +852,11 @@
                 continue
             gone.difference_update(points)  # of its process before; that may have had more points
             new += [point for point in points if point not in self.owners]
-            for point in points:
-                self.owners[point] = cache
-        if gone:
-            self.points = [p for p in self.points if p not in gone]
-            for point in gone:
-                self.owners.pop(point, None)
-        if new:
-            self.points = sorted(self.points + new)
+            self.owners.update(dict.fromkeys(points, cache))
+        for point in gone:
+            self.owners.pop(point, None)
+        if gone or new:
+            self.points = sorted([p for p in self.points if p not in gone] + new)
         self.rings = [self.points]
         if self.deployment.cross_price >= NEAR_PRICE:
             own = [p for p in self.points if self.owners[p].zone == self.deployment.zone]
@@ -867,6 +866,7 @@
         self._fade(now, 0.0)
 
     def _choose_ready(self) -> None:
+        self.regions.clear()
         self.ready = [c for c in self.caches.values() if c.presence is Presence.UP and not c.aside_until]
         self.fading = [c for c in self.ready if c.share < 1.0]
         self.total = sum(c.load * c.weight for c in self.ready)
@@ -933,13 +933,11 @@
         self._set_drops(beats)
 
     def _set_drops(self, beats: float) -> None:
-        work = self.work
         self.asked = [a * 0.95 ** beats for a in self.asked]
         if not self.valve:
-            if any(self.drop):
-                self.drop = [0.0] * len(self.drop)
+            self.drop = [0.0] * len(self.drop)
             return
-        weight = [a * (work[i // 2] or 1.0) for i, a in enumerate(self.asked)]
+        weight = [a * (self.work[i // 2] or 1.0) for i, a in enumerate(self.asked)]
         left = self.valve * sum(weight)
         for i in sorted(range(len(weight)), key=self._worth):
             part = min(left / weight[i], 1.0) if weight[i] > 0.0 else 0.0
@@ -973,7 +971,11 @@
             return self._give_up(operation)
         if self.deployment.aside and (operation.wants_origin or operation.write):
             return self._ask_origin(operation, now)
-        cache = self._walk(operation, now)
+        cache = None
+        for region in operation.regions:
+            cache = self._walk(operation, now, region)
+            if cache is not None or operation.beyond:
+                break
         if cache is None:
             return WAIT if operation.among and self._line_up(operation, now) else self._give_up(operation)
         if cache.share < 1.0:
@@ -1147,8 +1149,7 @@
     def _sum_peers(self, now: float) -> None:
         self.peers = {n: told for n, told in self.peers.items() if now - told[0] < PEER_STALE}
         scale = (self.deployment.routers - 1) / max(len(self.peers), 1)
-        heard = [rates for _, rates in self.peers.values()]
-        self.elsewhere = [scale * sum(rates) for rates in zip(*heard, strict=True)]
+        self.elsewhere = [scale * sum(rs) for rs in zip(*[r for _, r in self.peers.values()], strict=True)]
 
     def _some(self) -> tuple[int, ...]:
         """The peers to tell this time, in turn from a place of chance."""
--- a/gaugehinge/terms.py
+++ b/gaugehinge/terms.py
@@ -161,6 +161,7 @@
     turned: int = 0  # caches that turned it away
     wants_origin: bool = False
     joined: bool = False
+    regions: tuple[frozenset[str] | None, ...] = (None,)  # zones where it may be, in order; None: anywhere
     among: tuple[int, ...] | None = None  # the only servers that may serve its key, the owner first
     lined: object = None  # the server at which it waits for room
     redirects: int = 0  # legs that told it another server
