Tenants pin shards of their keys to regions by themselves

A tenant's own secret asks for regions of a shard (prefixes of its keys), `only` or `prefer`, now or at a time. The keeper checks places, room with a zone or server lost, and quotas; spreads the change in two steps, so that a deduplicated write's repeat never meets a place without its mark; and calls a shard confined when every router that may act reported it or lost its lease. Routers hold each leg to it by a clock that is read before the leg. A router that the keeper does not reach cannot know of new pins: it serves no `only` shard beyond its lease, and no tenant at all beyond `alone`. Revisions carry a mark of their history: one of an older copy of the store that counted on past it is no longer taken for the same, and pins that such a copy lost are held until their tenant speaks.

--- a/gaugehinge/admin/app.py
+++ b/gaugehinge/admin/app.py
@@ -130,6 +130,31 @@
     return min(int(told), most)
 
 
+async def once(
+    administration: Administration,
+    request: Request,
+    caller: Caller,
+    body: bytes,
+    make: Callable[..., Awaitable[Response]],
+) -> Response:
+    """A call with an idempotency key is made once; its repeat gets the same answer. Raises Wrong."""
+    key = request.headers.get("idempotency-key", "")
+    if len(key) > MOST_KEY:
+        raise Wrong(422, "invalid", f"over {MOST_KEY} characters", "Idempotency-Key")
+    if not key:
+        return await make()
+    print_ = hashlib.sha256(f"{request.method} {request.url.path}\n".encode() + body).digest()
+    keeper = administration.keeper
+    held = await keeper.call(keeper.store.answered, caller.name, key)
+    if held is None:
+        return await make(key=key, request=print_)
+    if held[0] != print_:
+        raise Wrong(422, "invalid", "another call had this key", "Idempotency-Key")
+    if not held[1]:
+        raise Wrong(409, "conflict", "it was made, and its secret is shown once")
+    return Response(held[1], 201, {"Idempotent-Replayed": "true"}, media_type="application/json")
+
+
 class Api:
     """The routes on one store."""
 
@@ -221,22 +246,7 @@
     async def _once(
         self, request: Request, caller: Caller, body: bytes, make: Callable[..., Awaitable[Response]]
     ) -> Response:
-        """A call with an idempotency key is made once; its repeat gets the same answer."""
-        key = request.headers.get("idempotency-key", "")
-        if len(key) > MOST_KEY:
-            raise Wrong(422, "invalid", f"over {MOST_KEY} characters", "Idempotency-Key")
-        if not key:
-            return await make()
-        print_ = hashlib.sha256(f"{request.method} {request.url.path}\n".encode() + body).digest()
-        keeper = self.administration.keeper
-        held = await keeper.call(keeper.store.answered, caller.name, key)
-        if held is None:
-            return await make(key=key, request=print_)
-        if held[0] != print_:
-            raise Wrong(422, "invalid", "another call had this key", "Idempotency-Key")
-        if not held[1]:
-            raise Wrong(409, "conflict", "it was made, and its secret is shown once")
-        return Response(held[1], 201, {"Idempotent-Replayed": "true"}, media_type="application/json")
+        return await once(self.administration, request, caller, body, make)
 
     # -- tenants
 
--- a/gaugehinge/admin/keep.py
+++ b/gaugehinge/admin/keep.py
@@ -15,7 +15,7 @@
 from msgspec import Meta
 
 from ..forms import toml
-from ..forms.units import Seconds, default
+from ..forms.units import Rate, Seconds, default
 from ..installation.form import BadField, endpoint
 from ..store.keeper import Overloaded, StoreKeeper
 from ..store.store import Conflict, Full, Wanted, encode
@@ -42,6 +42,38 @@
     """Shards of tenants pinned to regions (docs/placement.md)."""
 
     on: Annotated[bool, Meta(description="off: no such calls, nothing told to routers")] = False
+    regions: Annotated[
+        dict[
+            Annotated[str, Meta(pattern="^[a-z][a-z0-9-]{0,62}$")],
+            Annotated[tuple[str, ...], Meta(min_length=1, max_length=64)],
+        ],
+        Meta(max_length=64, description="name to zones, as `az` in discovery's list"),
+    ] = {}
+    bears: Annotated[Rate, Meta(description="what a server of weight 1 bears")] = default(Rate(100.0))
+    alone: Annotated[
+        Seconds,
+        Meta(description="a router without the keeper for longer serves no tenant; first pins wait for it"),
+    ] = default(Seconds(300.0))
+    flight: Annotated[Seconds, Meta(description="in which a leg that was sent has arrived or never will")] = (
+        default(Seconds(1.0))
+    )
+    memory: Annotated[Seconds, Meta(description="longest for which servers remember marks")] = default(
+        Seconds(60.0)
+    )
+    retention: Annotated[
+        Seconds, Meta(description="longest for which servers keep a value; `0s`: until they start anew")
+    ] = default(Seconds(0.0))
+    shards: Annotated[int, Meta(description="of one tenant", ge=1, le=1024)] = 64
+    changes: Annotated[int, Meta(description="of one tenant in an hour", ge=1, le=100_000)] = 60
+
+    def __post_init__(self) -> None:
+        if self.on and not self.regions:
+            raise BadField("regions", "none is named")
+        seen: dict[str, str] = {}
+        for name, zones in self.regions.items():
+            for zone in zones:
+                if seen.setdefault(zone, name) != name or zones.count(zone) > 1:
+                    raise BadField(f"regions.{name}", f"zone {zone!r} is in {seen[zone]!r} already")
 
 
 class KeepDrains(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -66,6 +98,8 @@
         endpoint("listen", self.listen)
         if not self.leases.on and (self.placement.on or self.drains.on):
             raise BadField("leases.on", "placement and drains go by leases")
+        if self.placement.on and self.placement.alone < self.leases.time:
+            raise BadField("placement.alone", "under leases.time")
 
 
 def read_keep(path: str | Path) -> KeepFile:
--- a/gaugehinge/admin/service.py
+++ b/gaugehinge/admin/service.py
@@ -42,6 +42,7 @@
 SERVER = "server"
 INCARNATION, LIFE = "incarnation", "life"
 ROUTERS_MOST = 1024  # that are remembered; the one heard of longest ago goes first
+TOLD_MOST = 1024  # revisions whose marks are at hand
 FEED_MOST = 500  # changes told one by one; a router further behind gets the whole
 MOST_SERVER = 200  # characters of a server's name
 KNOWN_MOST = 256  # secrets that were checked of late; the oldest goes first
@@ -128,6 +129,7 @@
         self.lease = 0.0  # seconds that each answer to a router gives it; 0: none, and no part is on
         self.leases = Ledger(time.monotonic(), 0.0)  # `give_leases` sets it
         self.parts: list[Part] = []  # fixed before the API is served
+        self.told: dict[int, str] = {}  # revisions that this run told, and their marks; TOLD_MOST of them
 
     def give_leases(self, lease: float) -> None:
         """From the start on, each answer to a router carries a lease of so many seconds."""
@@ -374,6 +376,8 @@
     async def feed(self, report: Report) -> Feed:
         """What a router has not heard yet, waited for as long as it asked."""
         self._hear(report)
+        if await self._of_another_past(report):
+            report = msgspec.structs.replace(report, since=0)
         since = report.since if report.store == self.life else 0
         for part in self.parts:
             part.hear(report, time.monotonic())
@@ -391,10 +395,29 @@
     def _dressed(self, report: Report, feed: Callable[[], Feed]) -> Feed:
         """On the store's thread, so that what parts tell belongs to the revision that is told."""
         told = feed()
+        self.mark_of(told.revision)
+        told = msgspec.structs.replace(told, mark=self.told[told.revision])
         said = {part.name: part.feed(self.keeper.store, report) for part in self.parts}
         parts = {name: msgspec.Raw(body) for name, body in said.items() if body is not None}
         return msgspec.structs.replace(told, keeper_run=self.run_mark, parts=parts)
 
+    def mark_of(self, revision: int) -> str:
+        """On the store's thread: the mark of a revision that is about to be told, from now on known."""
+        mark = self.told.pop(revision, None) or self.keeper.store.mark(revision)
+        self.told[revision] = mark
+        while len(self.told) > TOLD_MOST:
+            del self.told[next(iter(self.told))]
+        return mark
+
+    async def _of_another_past(self, report: Report) -> bool:
+        """Whether a router follows a revision that this copy of the store never had: its number says nothing
+        here, though the store has gone on past it since it was put back."""
+        if not report.since or not report.mark or report.store != self.life:
+            return False
+        if self.told.get(report.since) == report.mark:
+            return False
+        return await self.keeper.call(lambda: self.keeper.store.mark(report.since)) != report.mark
+
     def _hear(self, report: Report) -> None:
         if report.router not in self.routers and len(self.routers) >= ROUTERS_MOST:
             del self.routers[min(self.routers, key=lambda name: self.routers[name].at)]
--- a/gaugehinge/cli/keep_command.py
+++ b/gaugehinge/cli/keep_command.py
@@ -22,7 +22,12 @@
         told = read_keep(file)
     except BadFile as bad:
         raise BadInput(str(bad)) from None
+    parts = []
+    if told.placement.on:
+        from ..placement.build import keeping
+
+        parts.append(keeping(told))
     try:
-        trio.run(keep, told)
+        trio.run(keep, told, None, parts)
     except Damaged as bad:
         raise BadInput(str(bad)) from None
--- a/gaugehinge/cli/serve_command.py
+++ b/gaugehinge/cli/serve_command.py
@@ -57,6 +57,10 @@
             extensions.append(following(told))
         except BadSecret as bad:
             raise BadInput(f"{file}: follow.secret_file: {bad}") from None
+        if told.placement.on:
+            from ..placement.build import placed
+
+            extensions[-1] = placed(extensions[-1])
         more["kind"] = HostedClients
 
     def extend(service: Any, nursery: Any) -> None:
--- a/gaugehinge/hosted/follower.py
+++ b/gaugehinge/hosted/follower.py
@@ -109,6 +109,7 @@
         self.run_number = 0  # told with each report; `recovery` counts it on the router's files
         self.parts: list[Part] = []  # as switched on by the installation file; fixed before `run`
         self.wait = WAIT  # seconds that a call may stand open; less where leases are short
+        self.slack = SLACK  # over that, until a call counts as failed; less where leases are short
 
     # -- the start
 
@@ -155,9 +156,10 @@
         report = Report(
             self.service.berth.name, self.run_mark, roster.store, roster.revision, self.wait, self.in_hand(),
             self.run_number, {name: msgspec.Raw(body) for name, body in said.items() if body is not None},
+            roster.mark,
         )
         self.calls += 1
-        with trio.move_on_after(CONNECT_TIME + self.wait + SLACK):
+        with trio.move_on_after(CONNECT_TIME + self.wait + self.slack):
             answer = await self.client.post("/v1/feed", content=msgspec.json.encode(report))
             if answer.status_code != 200:
                 raise Refused(f"status {answer.status_code}")
--- a/gaugehinge/hosted/roster.py
+++ b/gaugehinge/hosted/roster.py
@@ -64,6 +64,7 @@
 
     revision: int = 0
     store: str = ""
+    mark: str = ""  # of the revision, as it was told
     drained: frozenset[str] = frozenset()
     by_incarnation: dict[int, Bearer] = field(default_factory=dict)
     by_place: dict[int, Bearer] = field(default_factory=dict)
@@ -140,7 +141,7 @@
         self.by_credential = {
             ident: bearer for bearer in standing.values() for ident in bearer.credentials
         }
-        self.store, self.revision = feed.store, feed.revision
+        self.store, self.revision, self.mark = feed.store, feed.revision, feed.mark
 
     def tenants(self) -> tuple[Tenant, ...]:
         """The table by place, as the module takes it; those that take nothing have no share."""
@@ -154,4 +155,4 @@
     def snapshot(self) -> Feed:
         """All of it, as a feed that `hear` takes."""
         rows = [bearer.row for bearer in self.by_incarnation.values()]
-        return Feed(self.store, self.revision, True, rows, [], sorted(self.drained))
+        return Feed(self.store, self.revision, True, rows, [], sorted(self.drained), mark=self.mark)
--- a/gaugehinge/installation/form.py
+++ b/gaugehinge/installation/form.py
@@ -311,6 +311,8 @@
         for name in ("placement", "drains"):
             if getattr(self, name).on and not self.follow.keeper:
                 raise BadField(f"{name}.on", "wants a keeper to follow (follow.keeper)")
+        if self.placement.on and self.cluster.servers:
+            raise BadField("placement.on", "cluster-mode servers say themselves who serves a key")
         unique("traffic", [entry.name for entry in self.traffic])
         unique("tenants", [entry.name for entry in self.tenants])
         if self.tier.listen and len(self.tier.peers) != self.tier.routers:
--- a/gaugehinge/net/dispatch.py
+++ b/gaugehinge/net/dispatch.py
@@ -51,6 +51,7 @@
         self.http = OriginDialect()
         self.locate: Callable[[Operation], None] | None = None  # where servers say who serves a key
         self.redirected: Callable[[Leg, Outcome, bytes], None] | None = None  # where servers redirect
+        self.place: Callable[[Operation], bytes | None] | None = None  # its regions, or its answer at once
         self.pool: Pool
         self.follow: Callable[[], None]
         self.tell: Callable[[tuple[int, ...], bytes], None]
@@ -75,9 +76,21 @@
         exchange.overdue = self.deadlines.at(operation.abandon + GRACE, self._overdue, handle)
         if self.locate is not None:
             self.locate(operation)
+        if self.place is not None:
+            reply = self.place(operation)
+            if reply is not None:
+                self.refuse(operation, reply)
+                return handle
         self._ask(exchange)
         return handle
 
+    def refuse(self, operation: Operation, reply: bytes) -> None:
+        """The final answer of an operation in hand, from outside of the decisions."""
+        exchange = self.exchanges.get(operation.ident)
+        if exchange is not None and not exchange.answered:
+            self._answer(exchange, reply)
+            self._drop(exchange)
+
     def client_gone(self, handle: int) -> None:
         """Nobody waits for the answer any more."""
         exchange = self.exchanges.get(handle)
--- a/gaugehinge/net/pool.py
+++ b/gaugehinge/net/pool.py
@@ -171,6 +171,7 @@
         self.travels: dict[Leg, Travel] = {}  # until the leg ended
         self.lines = 0
         self.full = False
+        self.guard: Callable[[Leg], bool] | None = None  # asked before each byte of a leg, where one stands
         self._sweep()
 
     # -- the list
@@ -238,7 +239,8 @@
         """Write a leg on a line that is up."""
         leg = travel.leg
         # The list may have changed while the connection came up: a drain is kept from the first byte.
-        if leg.operation.over or leg.server.presence is not Presence.UP:
+        forbidden = leg.operation.over or leg.server.presence is not Presence.UP
+        if forbidden or (self.guard is not None and not self.guard(leg)):
             self._rest(line)
             self._end_soon(travel, Outcome.NEVER_SENT)
             return
@@ -259,13 +261,30 @@
     async def _push(self, line: Line, rest: bytes) -> None:
         """Write what did not go at once. A line that breaks is noticed by its reader."""
         try:
-            await send_all(line.raw, rest)
+            if self.guard is None:
+                await send_all(line.raw, rest)
+            elif not await self._push_guarded(line, rest):
+                return
             line.written = True
         except (OSError, trio.ClosedResourceError):
             pass
         except Exception:  # a defect forfeits this leg alone
             logger.exception("a line to {} could not be written", line.place.uid)
 
+    async def _push_guarded(self, line: Line, rest: bytes) -> bool:
+        """The same where a guard may forbid the last byte: with that its server acts."""
+        travel = line.travel
+        while rest:
+            await trio.lowlevel.wait_writable(line.raw)
+            if travel is None or line.travel is not travel:
+                return False
+            if not self.guard(travel.leg):
+                self._abandon(travel)
+                self._end_soon(travel, Outcome.NEVER_SENT)
+                return False
+            rest = rest[send_some(line.raw, rest):]
+        return True
+
     def _end_soon(self, travel: Travel, outcome: Outcome) -> None:
         """Not from within the call that started or gave up the leg: its caller is not done with it."""
         self.deadlines.drop(travel.time_out)
--- a/gaugehinge/placement/__init__.py
+++ b/gaugehinge/placement/__init__.py
@@ -1,1 +1,1 @@
-"""Self-service placement: tenants pin shards of their keys to regions; off unless switched on."""
+"""Shards of tenants pinned to regions: terms, their life, what the keeper claims, what routers do."""
--- /dev/null
+++ b/gaugehinge/placement/admission.py
@@ -0,0 +1,109 @@
+"""Whether a pin is taken: places, room and quotas. No I/O, no clock of its own.
+
+A region bears what its servers bear by weight, less what the loss of its heaviest zone or server takes: what
+is pinned there must go on being served by the rest. A region of one zone loses only a server; that its zone
+goes is what the tenant chose.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Server:
+    """A cache server as routers tell of it."""
+
+    uid: str
+    zone: str
+    weight: float  # beside the others; 0: none is told, it counts as 1
+    started: float  # as discovery says; a server started anew has another one
+    up: bool  # takes something new
+
+
+class Refused(Exception):
+    """A pin that is not taken: the field, why, and what would be."""
+
+    def __init__(self, status: int, what: str, detail: str, field: str) -> None:
+        super().__init__(detail)
+        self.status, self.what, self.detail, self.field = status, what, detail, field
+
+
+@dataclass(slots=True, frozen=True)
+class Ground:
+    """What pins are checked against."""
+
+    regions: Mapping[str, Sequence[str]]  # name to zones
+    servers: Sequence[Server]
+    each: float  # operations a second that a server of weight 1 bears
+    pinned: Mapping[str, float]  # operations a second, by region, without the shard that is asked for
+
+    def bears(self, region: str) -> float:
+        """Operations a second that a region bears with its heaviest zone or server lost."""
+        weights: dict[str, list[float]] = defaultdict(list)
+        for server in self.servers:
+            if server.up and server.zone in self.regions[region]:
+                weights[server.zone].append(server.weight or 1.0)
+        if not weights:
+            return 0.0
+        lost = max(max(zone) for zone in weights.values())
+        if len(weights) > 1:
+            lost = max(lost, *(sum(zone) for zone in weights.values()))
+        return self.each * (sum(sum(zone) for zone in weights.values()) - lost)
+
+    def room(self, region: str) -> float:
+        """Operations a second that may still be pinned there."""
+        return max(self.bears(region) - self.pinned.get(region, 0.0), 0.0)
+
+    def staffed(self, region: str) -> bool:
+        """Whether a server stands there."""
+        return any(server.up and server.zone in self.regions[region] for server in self.servers)
+
+    def check(self, asked: Sequence[str], allowance: float) -> None:
+        """A pin to regions in order; its load counts at the first one. Raises Refused."""
+        for place, name in enumerate(asked):
+            if name not in self.regions:
+                detail = f"{name!r} is none; accepted: {', '.join(sorted(self.regions))}"
+                raise Refused(422, "unknown region", detail, f"regions[{place}]")
+            if name in asked[:place]:
+                raise Refused(422, "invalid", f"{name!r} is named twice", f"regions[{place}]")
+        for place, name in enumerate(asked):
+            if not self.staffed(name):
+                others = ", ".join(each for each in sorted(self.regions) if self.staffed(each)) or "none"
+                detail = f"no server stands in {name!r}; accepted: {others}"
+                raise Refused(409, "no server there", detail, f"regions[{place}]")
+        first = asked[0]
+        room = self.room(first)
+        if allowance > room + 1e-9:
+            others = [each for each in sorted(self.regions) if each != first and self.room(each) >= allowance]
+            told = ", ".join(others) or "no other region"
+            detail = (
+                f"{first!r} bears {self.bears(first):.1f} operations a second with a zone or server lost, "
+                f"{self.pinned.get(first, 0.0):.1f} are pinned there; "
+                f"accepted: an allowance up to {room:.1f}, or first in {told}"
+            )
+            raise Refused(409, "region full", detail, "regions[0]")
+
+
+@dataclass(slots=True, frozen=True)
+class Budget:
+    """Changes that a tenant may still make: a bucket that fills again over an hour."""
+
+    left: float
+    at: float  # Unix seconds
+
+    def take(self, most: int, now: float) -> Budget:
+        """One change less. Raises Refused where none is left."""
+        left = min(self.left + max(now - self.at, 0.0) * most / 3600.0, float(most))
+        if left < 1.0:
+            wait = (1.0 - left) * 3600.0 / most
+            raise Refused(429, "too many changes", f"{most} an hour; accepted again in {wait:.0f} s", "")
+        return Budget(left - 1.0, max(now, self.at))
+
+
+def check_count(standing: int, most: int) -> None:
+    """One more shard of a tenant. Raises Refused."""
+    if standing >= most:
+        raise Refused(409, "too many shards", f"{standing} stand; accepted: {most} at most", "")
--- /dev/null
+++ b/gaugehinge/placement/forms.py
@@ -0,0 +1,145 @@
+"""What keeper, routers and tenants tell each other of placement. No I/O."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from ..admin.types import Name
+from .shards import MOST_PREFIXES, MOST_REGIONS, Prefix, Row, Terms
+
+MOST_SLICE = 200  # servers told in one report: a body of the API takes no more
+MOST_SERVERS = 4096
+MOST_DOUBTS = 64  # told in one report; the rest follows
+
+Told = tuple[str, str, float, float, bool]  # uid, zone, weight, started, whether it takes something new
+
+
+class Slice(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A part of a router's list of servers."""
+
+    digest: Annotated[str, Meta(max_length=32, description="of the whole list")]
+    count: Annotated[int, Meta(ge=0, le=MOST_SERVERS)]
+    first: Annotated[int, Meta(ge=0)]
+    servers: Annotated[list[Told], Meta(max_length=MOST_SLICE)]
+
+
+class Doubt(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A pin that a router acted by and that the keeper's store, an older copy, does not have."""
+
+    incarnation: int
+    shard: Name
+    prefixes: Annotated[tuple[str, ...], Meta(max_length=MOST_PREFIXES)]
+    since: Annotated[int, Meta(description="revision of the copy when the router first heard it")]
+
+
+class RouterTold(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A router's part of its report."""
+
+    have: Annotated[int, Meta(ge=0)] = 0  # revision of its table
+    mark: Annotated[str, Meta(max_length=32)] = ""  # of that revision
+    clear: Annotated[int, Meta(ge=0)] = 0  # no leg is out that a table of this revision would not send
+    servers: Slice | None = None
+    doubts: Annotated[tuple[Doubt, ...], Meta(max_length=MOST_DOUBTS)] = ()
+
+
+class KeeperTold(msgspec.Struct, frozen=True):
+    """The keeper's part of the feed."""
+
+    revision: int
+    mark: str
+    whole: bool
+    rows: list[Row]
+    gone: list[tuple[int, str]]
+    lease: float  # seconds, counted from when the router sent its call; 0: none
+    alone: float  # seconds after which a router that is cut off serves no tenant at all
+    unsure: list[tuple[str, float]]  # servers whose zone changed without a start, and when they started
+    servers: str  # digest of the list of servers that the keeper has; empty: none
+    back: bool = False  # this router's table is of a history that the store does not have
+
+
+class Pinned(msgspec.Struct, frozen=True):
+    """One shard as the store has it."""
+
+    incarnation: int
+    tenant: str
+    shard: str
+    prefixes: tuple[str, ...]
+    allowance: float  # operations a second; 0: its tenant's
+    version: int  # of what its tenant asked: the entity tag
+    stage: str
+    since: float  # Unix seconds
+    now: Terms | None = None
+    then: Terms | None = None
+    at: float = 0.0
+    end: bool = False
+    held: bool = False
+    known: bool = False
+    far: bool = False
+    left: bool = False
+    crowd: str = ""  # servers that stood when it was confined: copies may be left there
+    confined_at: float = 0.0
+
+
+class ShardWanted(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What a tenant asks for one of its shards."""
+
+    regions: Annotated[
+        tuple[Annotated[str, Meta(min_length=1, max_length=64)], ...],
+        Meta(min_length=1, max_length=MOST_REGIONS, description="in order: the next where one cannot"),
+    ]
+    prefixes: Annotated[
+        tuple[Prefix, ...],
+        Meta(max_length=MOST_PREFIXES, description="what its keys begin with; none for the shard `default`"),
+    ] = ()
+    hold: Annotated[
+        Literal["only", "prefer"], Meta(description="only: bounced rather than served elsewhere")
+    ] = "only"
+    allowance: Annotated[
+        float, Meta(ge=0, le=1e9, description="operations a second of these keys; 0: what other shards leave")
+    ] = 0.0
+    at: Annotated[float, Meta(ge=0, le=1e11, description="Unix seconds of the move; 0: now")] = 0.0
+
+
+class Copy(msgspec.Struct, frozen=True):
+    """A server outside that may still hold a copy of the shard's values."""
+
+    server: str
+    zone: str
+    started: float
+
+
+class TermsShown(msgspec.Struct, frozen=True):
+    """Terms as they are shown."""
+
+    hold: str
+    regions: tuple[str, ...]
+    zones: tuple[str, ...]
+
+
+class ShardShown(msgspec.Struct, frozen=True):
+    """A shard as it is shown."""
+
+    tenant: str
+    incarnation: int
+    shard: str
+    prefixes: tuple[str, ...]
+    allowance: float
+    stage: str
+    since: float
+    revision: int  # its entity tag; the keeper's own steps do not change it
+    now: TermsShown | None
+    then: TermsShown | None
+    at: float
+    repeats_held: bool
+    waits_for: list[str]  # routers that may still act by what was before
+    copies: list[Copy]  # at servers outside; gone when such a server starts anew, or at `copies_until`
+    copies_until: float  # Unix seconds; 0: only a start anew ends them
+
+
+class ShardPage(msgspec.Struct, frozen=True):
+    """All shards of a tenant."""
+
+    shards: list[ShardShown]
--- /dev/null
+++ b/gaugehinge/placement/router.py
@@ -0,0 +1,265 @@
+"""Placement at a router: what the keeper told, held to at the door and before each leg.
+
+Whoever is cut off from the keeper cannot know what was pinned since. So with its lease over a router serves
+no `only` shard and answers no repeat of a deduplicated write with a leg; and after the longer time `alone`
+it serves no tenant at all, for any key may have been pinned by then. The clock is read before each leg: one
+that stood still must not act by what it knew before.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from itertools import count
+from typing import Any
+from zlib import crc32
+
+import msgspec
+import trio
+from loguru import logger
+
+from ..hosted.follower import Follower
+from ..hosted.roster import BadFeed
+from ..net.bulletin import Bulletin
+from ..net.dispatch import FAILED, busy
+from ..net.service import Service
+from ..tenancy.feed import WAIT, Feed
+from ..tenancy.lease import Held
+from ..terms import Effect, Leg, Operation, Presence
+from .forms import MOST_DOUBTS, MOST_SERVERS, Doubt, KeeperTold, RouterTold, Slice, Told
+from .servers import digest_of, slices
+from .shards import ANYWHERE, NOWHERE, Pin, Row, Table
+
+LEAST_WAIT = 0.2  # seconds that a call to the keeper stands open at least
+LEAST_SLACK = 0.5  # and so much longer until it counts as failed
+WAITS = 3.0  # calls in the time of a lease
+AWAY = 1.0  # seconds that clients of a shard that is not served stay away, about
+
+
+class Placing:
+    """The part of the follower."""
+
+    name = "placement"
+
+    def __init__(
+        self, service: Service, follower: Follower, clock: Callable[[], float] = trio.current_time
+    ) -> None:
+        """`clock`: the follower's, by which it says when a call was sent."""
+        self.service, self.follower, self.clock = service, follower, clock
+        self.table = Table()
+        self.lease, self.alone = Held(), Held()
+        self.store = ""
+        self.have, self.mark = 0, ""
+        self.clear = 0
+        self.strays: set[Leg] = set()  # out by an older table to where this one would not send them
+        self.doubts: dict[tuple[int, str], Row] = {}  # acted by, and unknown to an older copy of the store
+        self.doubts_since = 0
+        self.unsure: dict[str, float] = {}  # by the keeper's word
+        self.relabelled: dict[str, float] = {}  # by what the list told here; follows the list
+        self.servers: dict[str, Told] = {}  # follows the list
+        self.zones: dict[int, tuple[str, str, float]] = {}  # by the module's number: uid, zone, started
+        self.slices: list[Slice] = []  # still to be told
+        self.told_digest = ""
+        self.cut_off = False
+        self.bounced = 0  # operations for want of a lease, since it was lost
+        self._draws = count()
+        self._hear_list = service.dispatch.hear_list
+        service.dispatch.hear_list = self.hear_list
+        service.dispatch.place = self.place
+        service.pool.guard = self.guard
+
+    # -- the list of servers
+
+    def hear_list(self, bulletin: Bulletin, held: bool = False) -> None:
+        """Follow the list. A server that stands in another zone than before without a start is neither's."""
+        origin = self.service.berth.charter.deployment.origin_kind
+        if bulletin.whole:
+            named = {target.uid for target in bulletin.targets}
+            for uid in [uid for uid in self.servers if uid not in named]:
+                self.servers.pop(uid)
+        for listing, uid, _ in bulletin.targets:
+            if listing.presence is Presence.GONE or listing.kind == origin:
+                self.servers.pop(uid, None)
+                continue
+            before = self.servers.get(uid)
+            if before is not None and before[3] == listing.started and before[1] != listing.zone:
+                self.relabelled[uid] = listing.started
+                logger.warning("server {} in zone {} and not {} with no start", uid, listing.zone, before[1])
+            up = listing.presence is Presence.UP
+            self.servers[uid] = (uid, listing.zone, listing.weight, listing.started, up)
+            self.zones[listing.ident] = uid, listing.zone, listing.started
+        self.zones = {i: each for i, each in self.zones.items() if each[0] in self.servers}
+        started = {uid: told[3] for uid, told in self.servers.items()}
+        self.relabelled = {uid: at for uid, at in self.relabelled.items() if started.get(uid) == at}
+        self._hear_list(bulletin, held)
+
+    # -- the keeper
+
+    def report(self) -> bytes:
+        """What goes with the next call."""
+        travels = self.service.pool.travels
+        self.strays = {leg for leg in self.strays if leg in travels}
+        if not self.strays:
+            self.clear = self.have
+        doubts = tuple(
+            Doubt(row.incarnation, row.shard, row.prefixes, self.doubts_since)
+            for row in list(self.doubts.values())[:MOST_DOUBTS]
+        )
+        part = self.slices.pop(0) if self.slices else None
+        return msgspec.json.encode(RouterTold(self.have, self.mark, self.clear, part, doubts))
+
+    def hear(self, feed: Feed, asked_at: float) -> None:
+        """The keeper told. Raises BadFeed."""
+        body = feed.parts.get(self.name)
+        if body is None:
+            raise BadFeed("the keeper has no placement")
+        told = msgspec.json.decode(body, type=KeeperTold)
+        if not told.whole and (feed.store != self.store or told.revision < self.have):
+            raise BadFeed("placement: changes of another store, or of the past")
+        if told.back and feed.store == self.store:
+            self._doubt(told)
+        elif feed.store != self.store:
+            self.doubts.clear()
+        gone = [tuple(ident) for ident in told.gone]
+        rows = [row for row in told.rows if self._settles(row)]
+        self.table.change([*rows, *self.doubts.values()], gone, told.whole)
+        self.store, self.have, self.mark = feed.store, told.revision, told.mark
+        self.unsure = dict(told.unsure)
+        if told.rows or told.gone or told.whole:
+            self.strays.update(leg for leg in self.service.pool.travels if not self._fits(leg))
+        self.lease.renew(asked_at, told.lease)
+        self.alone.renew(asked_at, told.alone)
+        self._keep_pace(told.lease)
+        if self.cut_off and self.lease.good(self.clock()):
+            logger.info("placement: lease again, revision {}, {} bounced", self.have, self.bounced)
+            self.cut_off, self.bounced = False, 0
+        self._list_to_tell(told.servers)
+
+    def away(self) -> None:
+        """A call failed: the lease runs out by itself."""
+
+    def _keep_pace(self, lease: float) -> None:
+        if lease:
+            self.follower.wait = min(self.follower.wait, max(min(WAIT, lease / WAITS), LEAST_WAIT))
+            self.follower.slack = min(self.follower.slack, max(lease / WAITS, LEAST_SLACK))
+
+    def _list_to_tell(self, keepers: str) -> None:
+        if self.slices or len(self.servers) > MOST_SERVERS:
+            return
+        servers = [told for _, told in sorted(self.servers.items())]
+        digest = digest_of(servers)
+        if digest != keepers and (digest != self.told_digest or not keepers):
+            self.slices, self.told_digest = slices(servers), digest
+
+    def _doubt(self, told: KeeperTold) -> None:
+        """The store is an older copy. What was pinned here by `only`, and differs there, is held by nobody's
+        word: it is served nowhere until its tenant has spoken anew."""
+        theirs = {row.ident: row for row in told.rows}
+        standing = set(self.follower.roster.by_incarnation)
+        for ident, row in self.table.rows.items():
+            other = theirs.get(ident)
+            if row.terms is None or not row.terms.only or ident[0] not in standing:
+                continue
+            if other is None or other.terms != row.terms:
+                self.doubts[ident] = msgspec.structs.replace(row, terms=NOWHERE, held=True)
+        self.doubts_since = told.revision
+        logger.warning("placement: the keeper's store is an older copy, {} pins in doubt", len(self.doubts))
+
+    def _settles(self, row: Row) -> bool:
+        """Whether a row counts: one that is newer than the doubt of its shard ends that."""
+        if row.ident not in self.doubts:
+            return True
+        if row.rev <= self.doubts_since:
+            return False
+        del self.doubts[row.ident]
+        return True
+
+    # -- operations
+
+    def place(self, operation: Operation) -> bytes | None:
+        """At the door: the operation's regions, or its answer at once."""
+        pin = self.table.find(operation.key)
+        if not self.lease.good(self.clock()):
+            reply = self._cut_off(operation, pin, operation.repeat)
+            if reply is not None:
+                return reply
+        if pin is None:
+            return None
+        if pin.held and operation.repeat and _marked(operation):
+            return FAILED
+        if not pin.regions:
+            return self.busy()
+        operation.regions = pin.regions
+        return None
+
+    def guard(self, leg: Leg) -> bool:
+        """Before each leg's bytes: whether it may go. What may not is answered, or goes elsewhere."""
+        operation = leg.operation
+        pin = self.table.find(operation.key)
+        again = operation.repeat or operation.ran_at is not None
+        if not self.lease.good(self.clock()):
+            reply = self._cut_off(operation, pin, again)
+            if reply is not None:
+                self._refuse(operation, reply)
+                return False
+        if pin is None and operation.regions == ANYWHERE:
+            return True
+        regions = pin.regions if pin is not None else ANYWHERE
+        if regions != operation.regions:
+            # Its shard moved since it came. What ran in the old place is not dropped in the new one.
+            if operation.ran_at is not None and _marked(operation):
+                self._refuse(operation, FAILED)
+                return False
+            operation.regions = regions
+        if pin is not None and pin.held and operation.repeat and _marked(operation):
+            self._refuse(operation, FAILED)
+            return False
+        if not regions:
+            self._refuse(operation, self.busy())
+            return False
+        return leg.server.origin or self._inside(leg, regions)
+
+    def _inside(self, leg: Leg, regions: tuple) -> bool:
+        if regions[-1] is None:
+            return True
+        uid, zone, started = self.zones.get(leg.server.ident, ("", "", 0.0))
+        if self.unsure.get(uid) == started or self.relabelled.get(uid) == started:
+            return False
+        return zone == leg.server.zone and any(zone in region for region in regions)
+
+    def _fits(self, leg: Leg) -> bool:
+        pin = self.table.find(leg.operation.key)
+        return pin is None or leg.server.origin or self._inside(leg, pin.regions or (frozenset(),))
+
+    def _cut_off(self, operation: Operation, pin: Pin | None, again: bool) -> bytes | None:
+        """Without a lease: the answer of what cannot be served safely, None for the rest."""
+        if not self.cut_off:
+            self.cut_off = True
+            logger.warning("placement: no lease, revision {}: `only` shards are bounced", self.have)
+        safe = self.alone.good(self.clock()) and not (pin is not None and pin.only)
+        if safe and not (again and _marked(operation)):
+            return None
+        self.bounced += 1
+        if operation.ran_at is not None and operation.traffic.effect is not Effect.IDEMPOTENT:
+            return FAILED
+        return self.busy()
+
+    def _refuse(self, operation: Operation, reply: bytes) -> None:
+        ran = operation.ran_at is not None and operation.traffic.effect is not Effect.IDEMPOTENT
+        self.service.dispatch.refuse(operation, FAILED if ran else reply)
+
+    def busy(self) -> bytes:
+        """A bounce with a time, spread: all that wait for one thing must not come back at once."""
+        longest = self.service.berth.charter.deployment.longest_come_back
+        draw = crc32(b"%d" % next(self._draws)) / 0x100000000
+        return busy(min(AWAY * (0.5 + draw), longest) if longest else 0.0)
+
+
+def _marked(operation: Operation) -> bool:
+    return operation.write and operation.traffic.effect is Effect.DEDUPLICATED
+
+
+def placing(service: Service, follower: Follower, **more: Any) -> Placing:
+    """Switch placement on at a router that follows a keeper."""
+    part = Placing(service, follower, **more)
+    follower.parts.append(part)
+    return part
--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -974,7 +974,7 @@
         cache = None
         for region in operation.regions:
             cache = self._walk(operation, now, region)
-            if cache is not None or operation.beyond:
+            if cache is not None or (operation.beyond and region and self._within(region)[0]):
                 break
         if cache is None:
             return WAIT if operation.among and self._line_up(operation, now) else self._give_up(operation)
--- a/gaugehinge/rehearsal/hostedplay.py
+++ b/gaugehinge/rehearsal/hostedplay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from functools import partial
@@ -93,6 +93,9 @@
     services: list[Service] = field(default_factory=list)
     followers: list[Follower] = field(default_factory=list)
     scopes: list[trio.CancelScope] = field(default_factory=list)
+    lease: float = 0.0  # seconds that the keeper gives routers; 0: none
+    parts: tuple[Callable[[Administration], Any], ...] = ()  # at the keeper
+    dress: Callable[[Any], Any] = lambda follow: follow  # what a router has beside its following
 
     # -- the keeper
 
@@ -101,6 +104,9 @@
         keeper = self.keeper = StoreKeeper(self.folder / "store.db")
         desk = self.administration = Administration(keeper, CHEAP, Attempts(1, keeper.clock()))
         await desk.ready()
+        if self.lease:
+            desk.give_leases(self.lease)
+        desk.parts = [part(desk) for part in self.parts]
         self.root = await desk.first_operator() or self.root
         if not self.routers_secret:
             made = await desk.new_operator("tier", "router", "", "play")
@@ -111,11 +117,13 @@
         config.accesslog = config.errorlog = None
         config.graceful_timeout = 0.1
         self.keeping = trio.CancelScope()
-        await self.nursery.start(self._serve, Api(desk).app(), config)
+        await self.nursery.start(self._serve, Api(desk).app(), config, desk)
 
-    async def _serve(self, app: Any, config: Config, task_status: Any) -> None:
+    async def _serve(self, app: Any, config: Config, desk: Administration, task_status: Any) -> None:
         with self.keeping:
             async with trio.open_nursery() as nursery:
+                for part in desk.parts:
+                    nursery.start_soon(part.run)
                 await nursery.start(partial(serve, app, config, shutdown_trigger=trio.sleep_forever))
                 task_status.started()
 
@@ -150,7 +158,7 @@
         """Start one, or start it again after a crash: with nothing but its files."""
         told = self.files[number]
         berth = berth_of(told)
-        follow = following(told, CHEAP)
+        follow = self.dress(following(told, CHEAP))
         scope = trio.CancelScope()
 
         def extend(service: Service, nursery: trio.Nursery) -> None:
@@ -208,7 +216,8 @@
 @asynccontextmanager
 async def hosting(
     routers: int = 1, servers: int = 3, seed: int = 1, work: float = 0.0, new_door: Any = None,
-    folder: Path | None = None, inside: bool = True, **changes: Any,
+    folder: Path | None = None, inside: bool = True, zones: tuple[str, ...] = ("a",), lease: float = 0.0,
+    parts: tuple[Any, ...] = (), dress: Any = lambda follow: follow, **changes: Any,
 ) -> AsyncIterator[Hosted]:
     """A keeper with `root` and routers that follow it; ended with the block.
 
@@ -222,13 +231,17 @@
             ports = Ports(seed)
             shelves = Shelves(clock, work)
             directory = Directory(deadlines, 0.01, lambda *told: None)
-            made = Hosted(nursery, folder or Path(made_folder), ports, shelves, directory)
+            made = Hosted(
+                nursery, folder or Path(made_folder), ports, shelves, directory, lease=lease, parts=parts,
+                dress=dress,
+            )
             for number in range(servers):
                 listeners = await nursery.start(
                     partial(trio.serve_tcp, partial(shelves.serve, f"c-{number}"), 0, host=HOST)
                 )
                 port = listeners[0].socket.getsockname()[1]
-                directory.put(Entry(f"c-{number}", f"{HOST}:{port}", "std", "a", 0))
+                zone = zones[number % len(zones)]
+                directory.put(Entry(f"c-{number}", f"{HOST}:{port}", "std", zone, 0))
             discovery = DirectoryDoor(nursery, deadlines, directory, seed, 2000.0, 60.0)
             discovery.addresses = [(HOST, ports.free([HOST])) for _ in range(routers)]
             discovery.open()
--- a/gaugehinge/store/store.py
+++ b/gaugehinge/store/store.py
@@ -146,6 +146,12 @@
         """The first revision that the log still has; changes before it are in the state alone."""
         return self.db.execute("SELECT coalesce(min(rev), 1) FROM change").fetchone()[0]
 
+    def mark(self, rev: int) -> str:
+        """What tells a revision from one of the same number in another history: a store that was put back to
+        an older copy counts on from there. Empty where the log has no such row."""
+        row = self.db.execute("SELECT digest FROM change WHERE rev=?", (rev,)).fetchone()
+        return row[0].hex() if row else ""
+
     def get(self, kind: str, ident: str) -> Item | None:
         """One thing, or None."""
         row = self.db.execute(
--- a/gaugehinge/tenancy/feed.py
+++ b/gaugehinge/tenancy/feed.py
@@ -41,6 +41,7 @@
     lease: float = 0.0  # seconds, from when the router sent its call: tenancy/lease.py; 0: none is given
     keeper_run: str = ""  # new with each start of the keeper
     parts: dict[str, msgspec.Raw] = {}  # what each subsystem tells routers, by its name, in a form of its own
+    mark: str = ""  # of this revision: one of the same number in another copy of the store has another
 
 
 class Report(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -54,3 +55,4 @@
     in_hand: Annotated[dict[str, int], Meta(max_length=MOST_TENANTS)] = {}  # operations by incarnation
     run_number: Annotated[int, Meta(ge=0)] = 0  # of the router's starts on its files, rising; 0: not known
     parts: Annotated[dict[str, msgspec.Raw], Meta(max_length=16)] = {}  # each subsystem's own report, by name
+    mark: Annotated[str, Meta(max_length=64)] = ""  # of `since`, as it was told; empty: none was
--- a/gaugehinge/tenancy/lease.py
+++ b/gaugehinge/tenancy/lease.py
@@ -56,6 +56,7 @@
     began: float  # when this run of the keeper started, by its monotonic clock
     longest: float  # seconds of the longest lease that any run on this store may have given
     given: dict[tuple[str, str], Given] = field(default_factory=dict)
+    grace: float = 0.0  # seconds more, in which what was begun under a lease may still arrive
 
     def give(self, router: str, run: str, revision: int, lease: float, now: float) -> float:
         """Note a lease that is about to be told; returns it, or 0.0 where there is no room to remember it."""
@@ -72,16 +73,18 @@
 
     def settled(self, now: float) -> bool:
         """Whether all that a former run of the keeper gave is over."""
-        return now >= self.began + self.longest * (1.0 + DRIFT) + SLACK
+        return now >= self.began + self.longest * (1.0 + DRIFT) + SLACK + self.grace
 
     def acting_before(self, revision: int, now: float) -> list[tuple[str, str]]:
         """Runs that may still act by a state older than `revision`. With an empty list, and `settled`, every
         router that acts follows it."""
         return [
-            who for who, held in self.given.items() if held.revision < revision and not held.over(now)
+            who
+            for who, held in self.given.items()
+            if held.revision < revision and not held.over(now - self.grace)
         ]
 
     def sweep(self, now: float) -> None:
         """Forget what is over."""
-        for who in [who for who, held in self.given.items() if held.over(now)]:
+        for who in [who for who, held in self.given.items() if held.over(now - self.grace)]:
             del self.given[who]
