--- a/gaugehinge/placement/forms.py
+++ b/gaugehinge/placement/forms.py
@@ -67,7 +67,7 @@
     tenant: str
     shard: str
     prefixes: tuple[str, ...]
-    allowance: float  # operations a second; 0: its tenant's
+    allowance: float  # operations a second that count at its region
     version: int  # of what its tenant asked: the entity tag
     stage: str
     since: float  # Unix seconds
@@ -79,9 +79,18 @@
     known: bool = False
     far: bool = False
     left: bool = False
+    regions: tuple[str, ...] = ()  # these four as its tenant asked for them last
+    hold: str = ""
+    asked_allowance: float = 0.0
+    asked_at: float = 0.0
     crowd: str = ""  # servers that stood when it was confined: copies may be left there
     confined_at: float = 0.0
 
+    @property
+    def ends(self) -> bool:
+        """Whether its tenant has let it end: by its name it is not there any more."""
+        return self.end or self.stage == "leaving"
+
 
 class ShardWanted(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What a tenant asks for one of its shards."""
@@ -126,13 +135,16 @@
     incarnation: int
     shard: str
     prefixes: tuple[str, ...]
+    regions: tuple[str, ...]  # as asked, with the three that follow
+    hold: str
     allowance: float
+    at: float
+    counted: float  # operations a second that count at its region
     stage: str
     since: float
     revision: int  # its entity tag; the keeper's own steps do not change it
     now: TermsShown | None
     then: TermsShown | None
-    at: float
     repeats_held: bool
     waits_for: list[str]  # routers that may still act by what was before
     copies: list[Copy]  # at servers outside; gone when such a server starts anew, or at `copies_until`
--- a/gaugehinge/placement/keeper.py
+++ b/gaugehinge/placement/keeper.py
@@ -350,7 +350,7 @@
 
         def look() -> ShardShown:
             kept, rows = self._standing(self.keeper.store, name)
-            if shard not in rows:
+            if shard not in rows or rows[shard][0].ends:
                 raise Wrong(404, "not found", f"no shard {shard}")
             return self._shown(self.keeper.store, *rows[shard])
 
@@ -402,7 +402,9 @@
                 raise Wrong(409, "conflict", str(bad)) from None
             after = Pinned(
                 kept.incarnation, name, shard, prefixes, allowance, store.rev + 1, life.stage.value, now,
-                crowd=row.crowd if row else "", confined_at=row.confined_at if row else 0.0,
+                regions=wanted.regions, hold=wanted.hold, asked_allowance=wanted.allowance,
+                asked_at=wanted.at, crowd=row.crowd if row else "",
+                confined_at=row.confined_at if row else 0.0,
             )
             ident = f"{kept.incarnation}/{shard}"
             return [Wanted(SHARD, ident, encode(living(after, life, now)), rev), budget]
@@ -417,7 +419,7 @@
         def plan(store: Store, now: float) -> list[Wanted]:
             kept, rows = self._standing(store, name)
             row, rev = rows.get(shard, (None, 0))
-            if row is None:
+            if row is None or row.ends:
                 raise Wrong(404, "not found", f"no shard {shard}")
             _match(row, match, shard)
             ident = f"{kept.incarnation}/{shard}"
@@ -475,9 +477,9 @@
         if until and self.keeper.clock() >= until:
             copies = []
         return ShardShown(
-            row.tenant, row.incarnation, row.shard, row.prefixes, row.allowance, stage, row.since,
-            row.version, _terms_shown(life.now), _terms_shown(life.then), row.at, row.held, waits[:20],
-            copies, until,
+            row.tenant, row.incarnation, row.shard, row.prefixes, row.regions, row.hold, row.asked_allowance,
+            row.asked_at, row.allowance, stage, row.since, row.version, _terms_shown(life.now),
+            _terms_shown(life.then), row.held, waits[:20], copies, until,
         )
 
     def _copies(self, store: Store, row: Pinned, life: Life) -> list[Copy]:
@@ -514,6 +516,7 @@
 
 
 def _match(row: Pinned | None, match: int | None, shard: str) -> None:
+    row = None if row is not None and row.ends else row
     if row is None and match is not None:
         raise Wrong(412, "precondition failed", f"no shard {shard}")
     if row is not None and match is None:
@@ -526,10 +529,12 @@
     shard: str, wanted: ShardWanted, row: Pinned | None, rows: dict[str, tuple[Pinned, int]]
 ) -> tuple[str, ...]:
     """The prefixes of a shard, once and for all. Raises Wrong."""
-    prefixes = tuple(sorted(set(wanted.prefixes)))
+    prefixes = tuple(wanted.prefixes)
+    if len(set(prefixes)) < len(prefixes):
+        raise Wrong(422, "invalid", "one is told twice", "prefixes")
     if row is not None:
-        if prefixes != row.prefixes and wanted.prefixes:
-            raise Wrong(409, "conflict", "prefixes stay as they were made: make another shard", "prefixes")
+        if (prefixes or row.ends) and set(prefixes) != set(row.prefixes):
+            raise Wrong(409, "conflict", "prefixes stay as they were made until it is gone", "prefixes")
         return row.prefixes
     if not NAME.fullmatch(shard):
         raise Wrong(422, "invalid", "a shard's name is of lower case letters, digits and dashes", "shard")
