--- a/gaugehinge/emulator/link.py
+++ b/gaugehinge/emulator/link.py
@@ -156,7 +156,8 @@
 
     def look(self) -> None:
         """Listen, or do not."""
-        wanted = self.there and self.fault.state is not State.REFUSED
+        silent = self.holds(True) or self.holds(False)  # then nobody learns that the other side is gone
+        wanted = (self.there or silent) and self.fault.state is not State.REFUSED
         if wanted and self.listening is None:
             self.listening = listener(self.at, BACKLOG)
             self.nursery.start_soon(self._accept, self.listening)
@@ -197,13 +198,15 @@
                 far = joint.far = tcp(self.to)
                 if self.source:
                     far.bind((self.source, 0))
-                await connect(far, self.to)
+                try:
+                    await connect(far, self.to)
+                except ConnectionRefusedError:
+                    self.reach(False)
+                    await self.free(False)
+                    raise
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._pass, joint, joint.near, far, True)
                     nursery.start_soon(self._pass, joint, far, joint.near, False)
-        except ConnectionRefusedError:
-            self.reach(False)
-            joint.reset()
         except (OSError, trio.ClosedResourceError):
             joint.reset()
         finally:
@@ -341,7 +344,7 @@
     def __init__(
         self, nursery: trio.Nursery, seed: int, note: Callable[[str, str, Fault], None]
     ) -> None:
-        """`note` gets each change, as it was told."""
+        """`note` gets the change of each link, with its sides as they stand there."""
         self.nursery = nursery
         self.seed = seed
         self.note = note
@@ -367,15 +370,16 @@
         found = 0
         for (first, second), link in self.all.items():
             if _fits(one, first) and _fits(other, second):
-                link.put(fault)
+                told = fault
             elif _fits(one, second) and _fits(other, first):
-                link.put(fault.turned())
+                told = fault.turned()
             else:
                 continue
+            link.put(told)
+            self.note(first, second, told)
             found += 1
         if not found:
             raise KeyError(f"no link between {one} and {other}")
-        self.note(one, other, fault)
         return found
 
     def reach(self, other: str, there: bool) -> None:
