--- a/gaugehinge/emulator/link.py
+++ b/gaugehinge/emulator/link.py
@@ -238,6 +238,8 @@
 
     def _left(self, joint: Joint) -> bool:
         """Whether the one side has closed its end."""
+        if joint.near.fileno() < 0:
+            return True  # a reset has closed it meanwhile
         poll = select.poll()
         poll.register(joint.near.fileno(), GONE)
         left = bool(poll.poll(0))
--- a/gaugehinge/rehearsal/placementplay.py
+++ b/gaugehinge/rehearsal/placementplay.py
@@ -23,10 +23,11 @@
 ZONES = {"eu": "a", "us": "b", "ap": "c"}
 MEMORY = 9.0  # seconds for which the company's servers remember marks
 SETTLE = 30.0  # seconds at most until the first pins stand
-REST = 0.5  # seconds that a shard stands, about, before it moves again
+MIX = (("read", 0.75), ("put", 0.05), ("move", 0.12), ("book", 0.08))  # reads go to servers
+REST = 0.8  # seconds that a shard stands, about, before it moves again
 LOOK = 0.08  # seconds between two looks at a tenant's shards
 KEEP = {
-    "on": True, "regions": {name: [zone] for name, zone in ZONES.items()}, "bears": "5000/s", "alone": "3s",
+    "on": True, "regions": {name: [zone] for name, zone in ZONES.items()}, "bears": "5000/s",
     "flight": "0.3s", "memory": f"{MEMORY}s", "changes": 10_000,
 }
 
@@ -40,19 +41,19 @@
     shards: int = 4  # of each tenant, beside what belongs to none
     moves: int = 40  # of all together
     deeds: int = 10  # faults
-    rate: float = 100.0  # operations a second
-    lasts: float = 16.0  # seconds of load at most; moves that are not done by then are not begun
+    rate: float = 140.0  # operations a second
+    lasts: float = 18.0  # seconds of load at most; moves that are not done by then are not begun
     lease: float = 2.0
 
 
-SMALL = Size(routers=3, shards=2, moves=12, deeds=4, rate=80.0, lasts=7.0)
+SMALL = Size(routers=3, shards=2, moves=12, deeds=4, rate=100.0, lasts=6.0, lease=1.5)
 
 
 def plan_of(size: Size, pinned: bool = True) -> Plan:
     """The company of a play."""
     return Plan(
         routers=size.routers, servers=size.servers, zones=tuple(ZONES.values()), tenants=("acme", "bolt"),
-        lease=size.lease, keep={"placement": KEEP} if pinned else {},
+        lease=size.lease, keep={"placement": {**KEEP, "alone": f"{1.5 * size.lease}s"}} if pinned else {},
         serve={"placement": {"on": True}} if pinned else {},
     )
 
@@ -216,7 +217,7 @@
                         for tenant in tenants:
                             first.start_soon(tenant.begin, names)
             prefixes = tuple(f"{name}/" for name in names)
-            all_.load(size.rate, size.lasts, wait=1.0, prefixes=(*prefixes, "free/"), keys=50)
+            all_.load(size.rate, size.lasts, wait=1.0, mix=MIX, prefixes=(*prefixes, "free/"), keys=50)
             nursery.start_soon(break_things, all_, seed, size)
             with trio.move_on_after(size.lasts):
                 async with trio.open_nursery() as movers:
@@ -236,7 +237,7 @@
     async with all_.api(party="looks-first") as desk:
         with trio.fail_after(30.0):
             while True:
-                body = {"regions": ["eu", "us", "ap"], "prefixes": ["probe/"], "hold": "prefer", "allowance": 1}
+                body = {"regions": list(ZONES), "prefixes": ["probe/"], "hold": "prefer", "allowance": 1}
                 got = await desk.put("/v1/tenants/acme/shards/probe", json=body)
                 if got.status_code == 200:
                     return
--- /dev/null
+++ b/tests/test_placement_play.py
@@ -0,0 +1,27 @@
+"""Small plays of many processes in which tenants move shards; hundreds are played by rehearsal.plays."""
+
+import trio
+
+from gaugehinge.rehearsal.placementplay import SMALL, play
+
+SEEDS = range(1, 6)
+
+
+def test_no_key_is_served_outside_while_confined_in_five_plays(tmp_path):
+    found = {}
+
+    async def one(seed):
+        found[seed] = await play(seed, tmp_path / str(seed), SMALL)
+
+    async def main():
+        with trio.fail_after(150):
+            async with trio.open_nursery() as nursery:
+                for seed in SEEDS:
+                    nursery.start_soon(one, seed)
+
+    trio.run(main)
+    for seed, outcome in found.items():
+        assert not outcome.breaks, "\n".join([f"seed {seed}", *(each.told() for each in outcome.breaks)])
+    seen = [outcome.looked_at["confined"] for outcome in found.values()]
+    assert sum(seen) > 0, "no key of a confined shard came to a server: nothing was shown"
+    assert sum(outcome.figures["moves"] for outcome in found.values()) >= len(SEEDS)
