--- a/gaugehinge/rehearsal/broken.py
+++ b/gaugehinge/rehearsal/broken.py
@@ -39,7 +39,7 @@
     "double": "answers", "late": "late", "mute": "unanswered", "twice": "effects_by_id",
     "unmarked": "effects_by_mark", "ghost": "unasked", "swaps": "bounced_though_ran",
     "lies": "settled_without_effect", "mixes": "tenants", "crashes": "crashes", "drains": "drains",
-    "opens": "connections", "forgets": "acknowledged", "blind": "registers",
+    "wanders": "confined", "opens": "connections", "forgets": "acknowledged", "blind": "registers",
 }
 
 
@@ -203,6 +203,14 @@
     bulletin.PRESENCES["draining"] = Presence.UP
 
 
+def wanders() -> None:
+    """It sends keys of pinned shards anywhere, and tells the keeper that it follows."""
+    from ..placement.router import Placing
+
+    Placing.place = lambda self, operation: None
+    Placing.guard = lambda self, leg: True
+
+
 def opens() -> None:
     """It opens more connections to a server than that bears."""
     right, begun = RespDialect.command, []
@@ -249,7 +257,9 @@
 
 ROUTERS = {
     each.__name__: each
-    for each in (double, mute, late, swaps, mixes, lies, crashes, twice, unmarked, ghost, drains, opens)
+    for each in (
+        double, mute, late, swaps, mixes, lies, crashes, twice, unmarked, ghost, drains, wanders, opens,
+    )
 }
 KEEPERS = {each.__name__: each for each in (forgets, blind)}
 
