--- a/gaugehinge/histories/events.py
+++ b/gaugehinge/histories/events.py
@@ -112,6 +112,12 @@
     only: bool
 
 
+class Stall(Event, frozen=True, tag="stall"):
+    """The play's own loop, on which clients and links run, stood for so long: the machine was too busy."""
+
+    lasted: float  # seconds, up to `at`
+
+
 class Note(Event, frozen=True, tag="note"):
     """Whatever else a party says, for the person who reads a break."""
 
@@ -119,7 +125,7 @@
 
 
 AnyEvent = (
-    OpBegan | OpEnded | Leg | Connections | Link | Process | Change | Placed | Note
+    OpBegan | OpEnded | Leg | Connections | Link | Process | Change | Placed | Stall | Note
 )
 
 
--- a/gaugehinge/histories/operations.py
+++ b/gaugehinge/histories/operations.py
@@ -45,6 +45,8 @@
             continue  # the play was over before it had to be answered
         if reading.faulty(op.party, op.router, op.at, until) or _away(reading, op, until + bounds.slack):
             continue
+        if reading.stalled(op.at, until) >= bounds.slack:
+            continue  # an answer in time may have come too late for a client that stood still
         if reading.stood(op.party, op.at, until) or reading.life(op.party, op.at, until)[0] in GONE:
             continue
         why = f"{until - op.at:.3f} s after it was sent there was no answer, and its router ran"
@@ -74,6 +76,8 @@
             over = end.at - (op.at + op.wait)
             if end.outcome == "lost" or over <= bounds.slack:
                 continue
+            if over <= bounds.slack + reading.stalled(op.at, end.at):
+                continue
             if reading.stood(op.router, op.at, end.at) or reading.stood(op.party, op.at, end.at):
                 continue
             if reading.faulty(op.party, op.router, op.at, end.at):
--- a/gaugehinge/histories/stores.py
+++ b/gaugehinge/histories/stores.py
@@ -35,6 +35,8 @@
             or reading.stood(leg.server, leg.told_at, leg.at)
         ):
             continue
+        if leg.at - leg.told_at <= bounds.drain + reading.stalled(leg.told_at, leg.at):
+            continue
         why = f"a new leg {leg.at - leg.told_at:.3f} s after its router was told that {leg.server} drains"
         parties = (leg.server, router) if router else (leg.server,)
         lines = (op, leg) if op else (leg,)
--- a/gaugehinge/rehearsal/company.py
+++ b/gaugehinge/rehearsal/company.py
@@ -39,7 +39,7 @@
 from ..emulator.link import Fault, Links, State
 from ..emulator.party import DirectoryPart, Listed, OriginPart, Part, ServerPart
 from ..histories.checks import Bounds
-from ..histories.events import Change, Link, Process, Recorder
+from ..histories.events import Change, Link, Process, Recorder, Stall
 from ..net.resp import bulk
 from ..net.sockets import connect, receive, send_all, shut, tcp
 from ..store.keeper import StoreKeeper
@@ -51,6 +51,8 @@
 CHEAP = Hasher(time_cost=1, memory_kib=64)  # of the secrets here: a hash says itself how it is checked
 MEMORY = 9.0  # seconds for which marks are remembered
 WAIT = 2.0  # longest wait of a client, seconds
+BEAT = 0.05  # seconds between two looks at whether the play's own loop stands
+STALL = 0.1  # seconds that it stood beyond that are on record
 LOOK = 0.02  # seconds between two looks whether a process serves
 TRY_TIME = 2.0  # seconds of one of them
 NOTICE = 0.5  # seconds until discovery knows that a server has ended
@@ -288,6 +290,15 @@
             "traffic": [{**each, **ALL_TYPES, "group": group} for each in TRAFFIC],
         }
 
+    async def beat(self) -> None:
+        """Put on record when the machine has no time for this loop, on which clients and links run."""
+        while True:
+            began = self.recorder.now()
+            await trio.sleep(BEAT)
+            stood = self.recorder.now() - began - BEAT
+            if stood > STALL:
+                self.recorder.put(Stall(self.recorder.now(), "play", stood))
+
     # -- processes
 
     def _note(self, name: str, state: str, files: str = "", at: float = 0.0) -> None:
@@ -689,6 +700,7 @@
     try:
         async with trio.open_nursery() as nursery:
             made = Company(folder, seed, plan or Plan(), nursery, ground)
+            nursery.start_soon(made.beat)
             await made.begin()
             try:
                 yield made
--- a/gaugehinge/rehearsal/invented.py
+++ b/gaugehinge/rehearsal/invented.py
@@ -28,6 +28,7 @@
     OpEnded,
     Placed,
     Process,
+    Stall,
 )
 
 BOUNDS = Bounds(slack=0.5, drain=0.4, memory=3.0, limits={"origin": 12, "server-0": 6})
@@ -77,6 +78,7 @@
     power: float = -1.0
     stages: list[tuple[float, str, tuple[str, ...]]] = field(default_factory=list)  # of the shard
     drained: dict[str, float] = field(default_factory=dict)
+    busy: Span = field(default_factory=lambda: Span(-9.0, -9.0))  # when the machine had no time for the play
 
     def put(self, event: AnyEvent) -> None:
         """On record."""
@@ -138,6 +140,10 @@
             world.cut.setdefault((name, other), []).append(Span(at, until))
         else:
             _down(world, name, kind, at, until)
+    if draw.random() < 0.4:
+        at = draw.uniform(1.0, lasts)
+        world.busy = Span(at, at + 0.6)
+        world.put(Stall(at + 0.6, "play", 0.6))
     name = draw.choice(servers)
     world.drained[name] = draw.uniform(0.2, 0.7) * lasts
 
@@ -384,6 +390,9 @@
             over = stood.until + 0.01
             if over > at + WAIT + BOUNDS.slack:
                 outcome, over = "lost", at + WAIT + 1.0
+        whole = not world.during(world.down, router, at, at + 3.0)
+        if whole and outcome != "lost" and at < world.busy.since < over:
+            over = at + WAIT + BOUNDS.slack + 0.3
         gone = world.during(world.down, router, at, over)
         if gone is not None:
             outcome, over = "lost", max(gone.since, at)
