--- a/gaugehinge/histories/stores.py
+++ b/gaugehinge/histories/stores.py
@@ -10,7 +10,7 @@
 from .breaks import Bounds, Break
 from .events import AnyEvent, Connections, Leg, Placed, Process
 from .reading import Reading, Spans, between
-from .registers import KEEPER, calls_of, segments
+from .registers import KEEPER, calls_of, fields, segments
 
 CONFINED = "confined"
 GOOD_FILES = ("", "same", "older", "none")  # with which a process that ends by itself has crashed
@@ -46,35 +46,59 @@
 
 def confined_times(reading: Reading, bounds: Bounds) -> list[tuple[Placed, Placed]]:
     """Times in which a shard pinned with `only` was certainly confined: from one statement to the next like
-    it, with no change of its tenant's things under way that may have been made. A change of unknown result
-    counts as under way for `Bounds.unknown` seconds after its end, or until the keeper is killed."""
-    changed: dict[str, list[tuple[float, float]]] = defaultdict(list)
-    killed = [event.at for event in reading.processes if event.name == KEEPER and event.state == "killed"]
-    for call in calls_of(reading):
-        parts = call.path.split("/")
-        if call.method != "GET" and (call.made or call.maybe) and len(parts) > 3 and parts[2] == "tenants":
-            until = call.ended
-            if call.maybe:
-                last = call.lines[-1].at
-                dead = next((at for at in killed if at > call.began), math.inf)
-                until = min(last + bounds.unknown, max(dead, last))
-            changed[parts[3]].append((call.began, until))
-    spans = {tenant: Spans(times) for tenant, times in changed.items()}
-    anew = segments(reading)  # a keeper that was set back spreads anew what it had confined
+    it, with no change under way that may have been made to the shard, to its tenant, or to another shard that
+    may take some of its keys."""
     told: dict[tuple[str, str], list[Placed]] = defaultdict(list)
     for event in reading.placed:
         told[event.tenant, event.shard].append(event)
+    changed = _changed(reading, bounds, told)
+    anew = segments(reading)  # a keeper that was set back spreads anew what it had confined
     return [
         (one, other)
-        for (tenant, _), events in told.items()
+        for name, events in told.items()
         for one, other in zip(events, events[1:], strict=False)
         if one.only and one.stage == other.stage == CONFINED and other.only
         and set(one.zones) == set(other.zones) and set(one.prefixes) == set(other.prefixes)
-        and not (tenant in spans and spans[tenant].any(one.at, other.at))
-        and not between(anew, one.at, other.at)
+        and not changed[name].any(one.at, other.at) and not between(anew, one.at, other.at)
     ]
 
 
+def _changed(
+    reading: Reading, bounds: Bounds, told: dict[tuple[str, str], list[Placed]]
+) -> dict[tuple[str, str], Spans]:
+    """By shard, when what becomes of its keys may have been changed. A change of unknown result counts as
+    under way for `Bounds.unknown` seconds after its end, or until the keeper is killed."""
+    killed = [event.at for event in reading.processes if event.name == KEEPER and event.state == "killed"]
+    own: dict[tuple[str, str], list[tuple[float, float]]] = defaultdict(list)  # shard empty: the tenant
+    taken: dict[str, list[tuple[str, str, tuple[float, float]]]] = defaultdict(list)  # prefixes, by tenant
+    for call in calls_of(reading):
+        parts = call.path.split("/")
+        if call.method == "GET" or not (call.made or call.maybe) or len(parts) < 4 or parts[2] != "tenants":
+            continue
+        until = call.ended
+        if call.maybe:
+            last = call.lines[-1].at
+            dead = next((at for at in killed if at > call.began), math.inf)
+            until = min(last + bounds.unknown, max(dead, last))
+        time = call.began, until
+        if len(parts) > 5 and parts[4] == "shards":
+            own[parts[3], parts[5]].append(time)
+            prefixes = fields(call.body).get("prefixes")
+            for prefix in prefixes if isinstance(prefixes, list) else ():
+                taken[parts[3]].append((parts[5], str(prefix), time))
+        elif call.method == "DELETE" and len(parts) == 4:
+            own[parts[3], ""].append(time)
+    found = {}
+    for (tenant, shard), events in told.items():
+        mine = {prefix.partition("/")[2] for event in events for prefix in event.prefixes}
+        others = [
+            time for other, prefix, time in taken[tenant]
+            if other != shard and any(prefix.startswith(each) for each in mine)
+        ]
+        found[tenant, shard] = Spans([*own[tenant, shard], *own[tenant, ""], *others])
+    return found
+
+
 def confined(history: Sequence[AnyEvent], bounds: Bounds) -> list[Break]:
     """No key of a pinned `only` shard at a server outside its region's zones while the keeper said that it is
     confined. The origin stands in no region.
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -17,6 +17,7 @@
     Leg,
     OpBegan,
     OpEnded,
+    Placed,
     Process,
     Recorder,
     Stall,
@@ -206,6 +207,28 @@
     assert of("started", "told_to_end", "ended", "started", "ended") == ["crashes"]
 
 
+def test_a_key_that_another_shard_may_take_is_not_judged_for_the_first():
+    def said(at, shard, *prefixes, only=True):
+        return Placed(at, "play", "acme", shard, "confined", ["r"], ["a"], list(prefixes), only)
+
+    pinned = [said(1.0, "s0", "1/p/"), said(2.0, "s0", "1/p/")]
+    leg = Leg(1.5, "server-1", "server-1", "b", "x", "1/p/x/7", False)
+
+    def of(*more):
+        return [each.rule for each in check([*pinned, leg, *more], Bounds())]
+
+    def put(shard, prefix):
+        path, body = f"/v1/tenants/acme/shards/{shard}", f'{{"prefixes":["{prefix}"]}}'
+        began = Change(1.2, "a", "c", "PUT", path, body)
+        return [began, msgspec.structs.replace(began, at=1.4, status=200, answer=body, revision=9)]
+
+    assert of() == ["confined"]
+    assert of(*put("s1", "p/x/")) == [] and of(*put("s0", "p/")) == []
+    assert of(*put("s1", "q/")) == ["confined"]
+    assert of(said(0.5, "s1", "1/p/x/", only=False)) == []  # the longest prefix tells whose it is
+    assert of(Process(1.3, "play", "keeper", "started", "older")) == []
+
+
 def test_a_break_names_the_operation_the_parties_and_the_lines():
     told = "router-1", "acme", "book", "unrepeatable", "k", True, 1.0
     ops = [OpBegan(n, "client-0", f"c{n}", *told) for n in (1, 2)]
