--- a/gaugehinge/histories/events.py
+++ b/gaugehinge/histories/events.py
@@ -35,6 +35,7 @@
     wait: float  # seconds that it waits: the abandon time is `at + wait`
     mark: str = ""  # of a deduplicated write
     repeat_of: str = ""  # ident of the operation that it repeats (`r=1`); empty: a first one
+    value: str = ""  # that it writes, a different one each time; empty: its tenant and ident, `TENANT|IDENT`
 
 
 class OpEnded(Event, frozen=True, tag="op_ended"):
@@ -51,10 +52,10 @@
 
     server: str
     zone: str
-    ident: str
+    ident: str  # as its client wrote it, without the tenant's own space
     key: str  # with the tenant's own space before it, as it came
     write: bool
-    mark: str = ""
+    mark: str = ""  # likewise
     effect: bool = False  # whether it changed what is stored; a repeat of a known mark does not
     cold: bool = False  # the server had started less than its warm-up ago
     draining: bool = False  # the list had told so, to the router that sent it (`told_at`)
@@ -96,6 +97,7 @@
     status: int = -1  # -1: it begins
     answer: str = ""
     revision: int = 0
+    key: str = ""  # `Idempotency-Key`: calls with the same one are one change
 
 
 class Placed(Event, frozen=True, tag="placed"):
@@ -110,6 +112,12 @@
     only: bool
 
 
+class Stall(Event, frozen=True, tag="stall"):
+    """The play's own loop, on which clients and links run, stood for so long: the machine was too busy."""
+
+    lasted: float  # seconds, up to `at`
+
+
 class Note(Event, frozen=True, tag="note"):
     """Whatever else a party says, for the person who reads a break."""
 
@@ -117,7 +125,7 @@
 
 
 AnyEvent = (
-    OpBegan | OpEnded | Leg | Connections | Link | Process | Change | Placed | Note
+    OpBegan | OpEnded | Leg | Connections | Link | Process | Change | Placed | Stall | Note
 )
 
 
