Budgets at cold caches that hundreds of routers saved up run out, a token each

Cause: each router keeps a token for a cold cache until it needs it. With 200 routers and nothing wanted of the cache for a while, all may spend theirs in one instant: Router._fade took nothing back.

Change: a whole token that stands unused is lost by chance, on the mean after the fall time.

--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -308,7 +308,7 @@
         self.latency = Latency(now, ALIKE_KEEP)  # of all caches
         self.next_bucket, self.bucket = now, 0
         self.rate = Rate(now)  # of the legs that caches answered
-        self.counter = self.walks = 0
+        self.counter = self.walks = self.late_count = 0
         # A second leg opens a connection more, and its time-out costs that: caches were crowded with them.
         self.least_room = SLOW_ROOM if deployment.one_a_line else LEAST_ROOM
         self.starts = STARTS if deployment.one_a_line and deployment.line_price else 1
@@ -316,11 +316,9 @@
         self.repeats = 1.0  # further legs that may follow a time-out
         self.spare = max(SPARE_TICKS * deployment.tick, 0.005)
         self.last_beat = now
-        self.valve = self.lateness = self.pressed_until = 0.0
-        self.late_sum, self.late_count = 0.0, 0
+        self.valve = self.lateness = self.pressed_until = self.late_sum = 0.0
         self.excused = 0.0  # time-outs that will not count as lateness
-        rows = len(deployment.traffic_types)
-        self.work = [0.0] * rows  # mean time of a settled leg by traffic type
+        self.work = [0.0] * (rows := len(deployment.traffic_types))  # mean time of a settled leg
         self.asked = [0.0] * (2 * rows)  # decayed arrivals, in share and beyond
         self.drop = [0.0] * (2 * rows)
         self.used: list[float] = []  # own operations of each tenant a second, smoothed
@@ -696,6 +694,9 @@
             least = max(fair * cache.weight, COLD_FLOOR / terms.routers) * capacity
             most = max(1.0, fair * cache.weight * capacity * terms.fall_time * 0.5)
             cache.tokens = min(cache.tokens + least * COLD_PART * terms.fall_multiple * span, most)
+            # What hundreds of routers saved up, a token each, pushes over a cold cache that all come to.
+            if cache.tokens >= 1.0 and self._chance() * (terms.fall_time or 1.0) < span:
+                cache.tokens -= 1.0
         self.fading = [c for c in self.fading if c.share < 1.0]
         self.width = max(width, 0.01)
 
@@ -904,9 +905,8 @@
 
     def _beat(self, now: float) -> None:
         """The valve: closes while legs take too much of the promised time, lowest payoff first."""
-        span = now - self.last_beat
+        span, self.last_beat = now - self.last_beat, now
         beats = span / BEAT
-        self.last_beat = now
         self._fade(now, span)
         self._share_out(now, span)
         if self.late_count:
