--- a/gaugehinge/rehearsal/placementplay.py
+++ b/gaugehinge/rehearsal/placementplay.py
@@ -124,36 +124,37 @@
             while self.moves.left > 0 and not self.over:
                 self.moves.left -= 1
                 began = trio.current_time()
-                if await self._ask(desk, shard, prefix):
+                revision = await self._ask(desk, shard, prefix)
+                if revision is not None:
                     self.moves.asked += 1
-                    await self._arrive(shard, began)
+                    await self._arrive(shard, revision, began)
                 await trio.sleep(REST * (0.5 + self.draw.random()))
 
-    async def _ask(self, desk: httpx.AsyncClient, shard: str, prefix: str) -> bool:
+    async def _ask(self, desk: httpx.AsyncClient, shard: str, prefix: str) -> int | None:
+        """A change; its revision, 0 of an end, None where it was not made or nobody knows."""
         regions = self.draw.sample(sorted(ZONES), self.draw.choice((1, 1, 2)))
         hold = self.draw.choice(("only", "only", "only", "prefer"))
         try:
             got = await desk.get(f"{self.path}/{shard}")
             tag = {"If-Match": got.headers["etag"]} if got.status_code == 200 else {}
             if tag and self.draw.random() < 0.1:
-                return (await desk.delete(f"{self.path}/{shard}", headers=tag)).status_code == 204
+                got = await desk.delete(f"{self.path}/{shard}", headers=tag)
+                return 0 if got.status_code == 204 else None
             body = {"regions": regions, "hold": hold, "prefixes": [prefix], "allowance": 1}
             got = await desk.put(f"{self.path}/{shard}", json=body, headers=tag)
             self.moves.refused += got.status_code >= 400
-            return got.status_code < 300
+            return got.json()["revision"] if got.status_code < 300 else None
         except httpx.HTTPError:
             self.moves.unknown += 1
-            return False
+            return None
 
-    async def _arrive(self, shard: str, began: float) -> None:
-        before = self.shown.get(shard, {}).get("revision", 0)
+    async def _arrive(self, shard: str, revision: int, began: float) -> None:
         with trio.move_on_after(self.size.lasts):
             while not self.over:
                 await trio.sleep(LOOK)
                 shown = self.shown.get(shard)
-                if shown is None or (
-                    shown["revision"] > before and shown["stage"] in ("confined", "followed")
-                ):
+                there = shown is not None and shown["stage"] in ("confined", "followed")
+                if shown is None if not revision else there and shown["revision"] >= revision:
                     self.moves.took.append(trio.current_time() - began)
                     return
 
