--- a/gaugehinge/placement/desk.py
+++ b/gaugehinge/placement/desk.py
@@ -45,7 +45,7 @@
     """Rows by ident, and what was removed of late."""
 
     rev: int = 0
-    rows: dict[str, tuple[Pinned, int]] = field(default_factory=dict)
+    rows: dict[str, tuple[Pinned, int]] = field(default_factory=dict)  # what changed last stands last
     restless: set[str] = field(default_factory=set)
     removed: deque[tuple[int, str]] = field(default_factory=lambda: deque(maxlen=REMOVED_KEPT))
     whole_below: int = 0  # a table older than this cannot be brought up to date by changes
@@ -66,18 +66,20 @@
         self.rows.clear()
         self.restless.clear()
         self.removed.clear()
-        after = ""
+        after, found = "", []
         while items := store.items(SHARD, after):
-            for item in items:
-                self._take(item.ident, item.rev, item.body)
+            found += items
             after = items[-1].ident
+        for item in sorted(found, key=lambda each: each.rev):
+            self._take(item.ident, item.rev, item.body)
         self.rev = self.whole_below = store.rev
 
     def _take(self, ident: str, rev: int, body: bytes | None) -> None:
         self.newest = max(self.newest, rev)
         self.restless.discard(ident)
+        before = self.rows.pop(ident, None)
         if body is None:
-            if self.rows.pop(ident, None) is not None:
+            if before is not None:
                 if len(self.removed) == REMOVED_KEPT:
                     self.whole_below = self.removed[0][0]
                 self.removed.append((rev, ident))
@@ -98,9 +100,9 @@
         if not whole and since >= self.newest:
             return False, [], []
         rows, gone = [], []
-        for row, rev in self.rows.values():
+        for row, rev in reversed(self.rows.values()):
             if not whole and rev <= since:
-                continue
+                break
             if row.stage == Stage.ASKED.value:
                 gone.append((row.incarnation, row.shard))  # told once, it may have been taken back
             else:
--- a/gaugehinge/placement/keeper.py
+++ b/gaugehinge/placement/keeper.py
@@ -54,6 +54,7 @@
 SWEEP_EVERY, SWEPT = 10.0, 10_000  # seconds; things of a kind looked at
 DOUBTS_MOST = 1024
 FORMER = "a former run of the keeper"
+UNDER_WAY = (Stage.SPREADING.value, Stage.MOVING.value, Stage.LEAVING.value)
 
 
 class Placement:
@@ -101,7 +102,8 @@
         for doubt in told.doubts:
             if len(self.doubts) < DOUBTS_MOST:
                 self.doubts[doubt.incarnation, doubt.shard] = doubt
-        self._wake.set()
+        if self.desk.restless or self.doubts or self.disturbed:
+            self._wake.set()
 
     def feed(self, store: Store, report: Report) -> bytes | None:
         """On the store's thread."""
@@ -154,24 +156,26 @@
         """Bring shards on their way, until cancelled."""
         rezoned, next_sweep = False, 0.0
         while True:
-            busy = False
+            tick = REST_TICK
             try:
                 if not rezoned:
                     await self._change(self._rezone, "keeper")
                     rezoned = True
                 if self.clock() >= next_sweep:
                     await self._change(self._sweep, "keeper")
+                    self.near.sweep(self.clock())
+                    self.far.sweep(self.clock())
                     next_sweep = self.clock() + SWEEP_EVERY
-                busy = await self.look()
+                tick = await self.look()
             except (Overloaded, Full) as bad:
                 logger.warning("placement not looked at: {}", bad)
             self._wake = trio.Event()
-            with trio.move_on_after(TICK if busy else REST_TICK):
+            with trio.move_on_after(tick):
                 await self._wake.wait()
                 await trio.sleep(TICK / 4)  # several reports at once are one look
 
-    async def look(self) -> bool:
-        """One look; whether something is still on its way."""
+    async def look(self) -> float:
+        """One look; seconds until the next one, if nothing comes before."""
         if self.doubts or self.disturbed:
             doubts, disturbed = dict(self.doubts), set(self.disturbed)
             await self._change(lambda store, now: self._alarms(store, now, doubts, disturbed), "keeper")
@@ -179,9 +183,6 @@
                 self.doubts.pop(ident, None)
             self.disturbed -= disturbed
         work = await self.keeper.call(self._work)
-        if not work:
-            self.since.clear()
-            return False
         known = {(ident, rev) for ident, _, rev in work}
         self.since = {each: at for each, at in self.since.items() if each in known}
         events = {}
@@ -191,7 +192,9 @@
                 events[ident] = event, rev
         if events:
             await self._change(lambda store, now: self._carry_out(store, now, events), "keeper")
-        return True
+        under_way = any(row.stage in UNDER_WAY for _, row, _ in work)
+        due = min((row.at - self.keeper.clock() for _, row, _ in work if row.at), default=REST_TICK)
+        return TICK if under_way else min(max(due, TICK), REST_TICK)
 
     async def _change(self, plan: Callable[[Store, float], list[Wanted]], who: str) -> None:
         """Conditional on what stands there: what changed meanwhile is left out, and seen at the next look."""
--- a/gaugehinge/tenancy/lease.py
+++ b/gaugehinge/tenancy/lease.py
@@ -80,7 +80,7 @@
         router that acts follows it."""
         return [
             who
-            for who, held in self.given.items()
+            for who, held in list(self.given.items())  # in one step: another thread may be asking
             if held.revision < revision and not held.over(now - self.grace)
         ]
 
