--- a/gaugehinge/rehearsal/placementplay.py
+++ b/gaugehinge/rehearsal/placementplay.py
@@ -167,7 +167,7 @@
     async def cut(router: str) -> None:
         kind = draw.choice((State.SILENT, State.REFUSED, State.SILENT_THERE, State.SILENT_BACK))
         all_.link(router, "keeper", Fault(kind))
-        await trio.sleep(draw.uniform(0.5, 2.5 * size.lease))
+        await trio.sleep(draw.uniform(0.5 * size.lease, 4.0 * size.lease))  # most outlast the lease
         all_.link(router, "keeper", Fault())
 
     async def slow(router: str) -> None:
@@ -178,7 +178,7 @@
 
     async def stand_still(router: str) -> None:
         all_.stop(router)
-        await trio.sleep(draw.uniform(0.3, 3.0 * size.lease))
+        await trio.sleep(draw.uniform(0.3, 4.0 * size.lease))
         all_.go_on(router)
 
     async def die(name: str) -> None:
