--- a/gaugehinge/placement/router.py
+++ b/gaugehinge/placement/router.py
@@ -32,6 +32,7 @@
 LEAST_WAIT = 0.2  # seconds that a call to the keeper stands open at least
 LEAST_SLACK = 0.5  # and so much longer until it counts as failed
 WAITS = 3.0  # calls in the time of a lease
+LIST_AGAIN = 10.0  # seconds after which a list that the keeper does not have is told again
 AWAY = 1.0  # seconds that clients of a shard that is not served stay away, about
 
 
@@ -49,6 +50,7 @@
         self.lease, self.alone = Held(), Held()
         self.store = ""
         self.have, self.mark = 0, ""
+        self.asked_at = 0.0  # the question whose answer was heard last
         self.clear = 0
         self.strays: set[Leg] = set()  # out by an older table to where this one would not send them
         self.doubts: dict[tuple[int, str], Row] = {}  # acted by, and unknown to an older copy of the store
@@ -58,7 +60,7 @@
         self.servers: dict[str, Told] = {}  # follows the list
         self.zones: dict[int, tuple[str, str, float]] = {}  # by the module's number: uid, zone, started
         self.slices: list[Slice] = []  # still to be told
-        self.told_digest = ""
+        self.told_digest, self.told_list_at = "", 0.0
         self.cut_off = False
         self.bounced = 0  # operations for want of a lease, since it was lost
         self._draws = count()
@@ -113,16 +115,21 @@
         if body is None:
             raise BadFeed("the keeper has no placement")
         told = msgspec.json.decode(body, type=KeeperTold)
+        if asked_at < self.asked_at:
+            raise BadFeed("placement: the answer to an older question than one that was answered")
         if not told.whole and (feed.store != self.store or told.revision < self.have):
             raise BadFeed("placement: changes of another store, or of the past")
         if told.back and feed.store == self.store:
             self._doubt(told)
         elif feed.store != self.store:
             self.doubts.clear()
+        standing = self.follower.roster.by_incarnation
+        self.doubts = {ident: row for ident, row in self.doubts.items() if ident[0] in standing}
         gone = [tuple(ident) for ident in told.gone]
         rows = [row for row in told.rows if self._settles(row)]
         self.table.change([*rows, *self.doubts.values()], gone, told.whole)
         self.store, self.have, self.mark = feed.store, told.revision, told.mark
+        self.asked_at = asked_at
         self.unsure = dict(told.unsure)
         if told.rows or told.gone or told.whole:
             self.strays.update(leg for leg in self.service.pool.travels if not self._fits(leg))
@@ -147,14 +154,16 @@
             return
         servers = [told for _, told in sorted(self.servers.items())]
         digest = digest_of(servers)
-        if digest != keepers and (digest != self.told_digest or not keepers):
+        again = not keepers or self.clock() > self.told_list_at + LIST_AGAIN
+        if digest != keepers and (digest != self.told_digest or again):
             self.slices, self.told_digest = slices(servers), digest
+            self.told_list_at = self.clock()
 
     def _doubt(self, told: KeeperTold) -> None:
         """The store is an older copy. What was pinned here by `only`, and differs there, is held by nobody's
         word: it is served nowhere until its tenant has spoken anew."""
         theirs = {row.ident: row for row in told.rows}
-        standing = set(self.follower.roster.by_incarnation)
+        standing = self.follower.roster.by_incarnation
         for ident, row in self.table.rows.items():
             other = theirs.get(ident)
             if row.terms is None or not row.terms.only or ident[0] not in standing:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -11,7 +11,8 @@
 from hypothesis import strategies as st
 from test_random import Rules
 
-from gaugehinge.admin.keep import KeepPlacement
+from gaugehinge.admin.keep import KeepPlacement, read_keep
+from gaugehinge.forms.toml import BadFile
 from gaugehinge.forms.units import Rate, Seconds
 from gaugehinge.installation.form import PlacementEntry
 from gaugehinge.placement.admission import Budget, Ground, Refused, Server
@@ -631,6 +632,9 @@
                 assert all(a.startswith(b"-BUSY") for a in await play.read(router, "eu/1", "new/1"))
             assert not play.zones("eu/1", "new/1")
             await play.until("same", "confined")
+            for follower in play.all.followers:
+                roster = follower.roster
+                assert roster.mark == play.all.keeper.store.mark(roster.revision), "of the copy's own past"
             assert (await play.read(0, "ap/1"))[0].startswith(b"$") and play.zones("ap/1") == {"c"}
             shown = await play.get("mine")
             await play.put("mine", ["us"], match=f'"{shown["revision"]}"')
@@ -638,3 +642,46 @@
             assert (await play.read(0, "eu/1"))[0].startswith(b"$") and play.zones("eu/1") == {"b"}
 
     run(scene)
+
+
+# -- bad input
+
+
+@pytest.mark.parametrize("text, field", [
+    ("[placement]\non = true\nregions = {eu = ['a']}", "leases.on"),
+    ("[leases]\non = true\n[placement]\non = true", "placement.regions"),
+    ("[placement.regions]\neu = ['a']\nus = ['a']", "placement.regions.us"),
+    ("[placement.regions]\nEU = ['a']", "placement.regions"),
+    ("[leases]\non = true\n[placement]\non = true\nalone = '1s'\nregions = {eu = ['a']}", "placement.alone"),
+    ("[placement]\nbears = 100", "placement.bears"),
+])
+def test_a_wrong_field_of_the_keepers_file_is_named(tmp_path, text, field):
+    path = tmp_path / "keep.toml"
+    path.write_text(f"store = 's'\nlisten = '127.0.0.1:7400'\n{text}\n")
+    with pytest.raises(BadFile) as bad:
+        read_keep(path)
+    assert field in str(bad.value) and "\n" not in str(bad.value)
+
+
+def test_a_report_that_cannot_be_read_is_refused_with_its_field_and_gives_no_lease():
+    async def scene():
+        async with playing(routers=1) as play:
+            headers = {"Authorization": f"Bearer {play.all.routers_secret}"}
+            async with httpx.AsyncClient(base_url=play.all.api, headers=headers) as router:
+                for part in ({"have": -1}, {"servers": {"digest": "x"}}, {"colour": 1}, []):
+                    body = {"router": "r", "run": "x", "parts": {"placement": part}}
+                    got = await router.post("/v1/feed", json=body)
+                    assert got.status_code == 422 and got.json()["field"] == "parts.placement"
+                assert ("r", "x") not in play.part.near.given
+                # one that does not speak of placement is told nothing of it, and holds nobody up
+                got = await router.post("/v1/feed", json={"router": "r", "run": "x"})
+                assert got.status_code == 200 and got.json()["parts"] == {}
+                assert ("r", "x") not in play.part.near.given
+                # a table of marks that nobody told counts as none
+                told = {"have": 5, "mark": "ff" * 16, "clear": 5}
+                body = {"router": "r", "run": "x", "parts": {"placement": told}}
+                got = await router.post("/v1/feed", json=body)
+                assert got.json()["parts"]["placement"]["whole"] is True
+                assert play.part.near.given["r", "x"].revision == 0
+
+    run(scene)
