--- a/gaugehinge/admin/keep.py
+++ b/gaugehinge/admin/keep.py
@@ -48,6 +48,41 @@
     """Grants of connections, and rolls of the fleet (docs/drains.md)."""
 
     on: Annotated[bool, Meta(description="off: no such calls, nothing told to routers")] = False
+    origin: Annotated[int, Meta(description="connections that the origin bears in all", ge=0, le=10**6)] = 0
+    servers: Annotated[int, Meta(description="that each cache server bears", ge=0, le=10**6)] = 0
+    limits: Annotated[
+        dict[str, int], Meta(description="that a server bears, by name, where it differs", max_length=64)
+    ] = {}
+    floor_origin: Annotated[
+        int, Meta(description="connections to the origin of a router that is cut off", ge=0, le=10**6)
+    ] = 1
+    floor_servers: Annotated[int, Meta(description="and to each cache server", ge=0, le=10**6)] = 1
+    most_nodes: Annotated[
+        int, Meta(description="routers that may exist, those that are lost among them", ge=1, le=4096)
+    ] = 16
+    reserve: Annotated[
+        float, Meta(description="part of each limit that need alone does not get", ge=0, le=0.9)
+    ] = 0.1
+    closing: Annotated[
+        Seconds, Meta(description="within which a store closes what a silent router left open")
+    ] = default(Seconds(15.0))
+    most_busy: Annotated[
+        float, Meta(description="part of its core that a router bears", gt=0, le=1)
+    ] = 0.8
+    new_installation: Annotated[
+        bool, Meta(description="an empty store is a first start: no node is there that it does not know")
+    ] = False
+
+    def __post_init__(self) -> None:
+        if not self.on:
+            return
+        floors = {"origin": self.floor_origin, "servers": self.floor_servers}
+        told = {"origin": self.origin, "servers": self.servers}
+        named = {f"limits.{name}": most for name, most in self.limits.items()}
+        for field, most in {**told, **named}.items():
+            least = self.most_nodes * floors.get(field, self.floor_servers)
+            if most < max(least, 1):
+                raise BadField(field, f"{most} is under {max(least, 1)}, the floors of all nodes")
 
 
 class KeepFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/gaugehinge/cli/keep_command.py
+++ b/gaugehinge/cli/keep_command.py
@@ -1,5 +1,7 @@
 """`gaugehinge keep FILE`."""
 
+from functools import partial
+
 import click
 
 from .main import BadInput
@@ -22,7 +24,12 @@
         told = read_keep(file)
     except BadFile as bad:
         raise BadInput(str(bad)) from None
+    parts = []
+    if told.drains.on:
+        from ..drains.build import keeping
+
+        parts.append(keeping(told))
     try:
-        trio.run(keep, told)
+        trio.run(partial(keep, told, parts=parts))
     except Damaged as bad:
         raise BadInput(str(bad)) from None
--- a/gaugehinge/cli/serve_command.py
+++ b/gaugehinge/cli/serve_command.py
@@ -54,9 +54,17 @@
         from ..hosted.front import HostedClients
 
         try:
-            extensions.append(following(told))
+            follow = following(told)
         except BadSecret as bad:
             raise BadInput(f"{file}: follow.secret_file: {bad}") from None
+        if told.drains.on:
+            from ..drains.build import Taken, draining
+
+            try:
+                follow = _joined(follow, draining(told))
+            except Taken as bad:
+                raise BadInput(f"{file}: drains.file: {bad}") from None
+        extensions.append(follow)
         more["kind"] = HostedClients
 
     def extend(service: Any, nursery: Any) -> None:
@@ -64,3 +72,14 @@
             each(service, nursery)
 
     sys.exit(run(berth_of(told), reread, new_door, early, extend if extensions else None, **more))
+
+
+def _joined(follow: Any, more: Any) -> Any:
+    """A follower with one part more."""
+
+    def extend(service: Any, nursery: Any) -> Any:
+        follower = follow(service, nursery)
+        more(service, nursery, follower)
+        return follower
+
+    return extend
--- /dev/null
+++ b/gaugehinge/drains/build.py
@@ -0,0 +1,41 @@
+"""The installation file's `drains` to a part of a router that follows, and the keeper's file to its part."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from ..admin.keep import KeepFile
+from ..admin.service import Administration
+from ..hosted.follower import Follower
+from ..installation.form import Installation
+from ..net.service import Service
+from .files import NodeFile, Taken
+from .keeper import KeeperDrains
+from .router import RouterDrains
+
+
+def draining(told: Installation) -> Callable[[Service, trio.Nursery, Follower], RouterDrains]:
+    """What adds the part to a follower; this run is counted on its file now. Raises Taken."""
+    entry = told.drains
+    files = NodeFile(entry.file)
+
+    def extend(service: Service, nursery: trio.Nursery, follower: Follower) -> RouterDrains:
+        part = RouterDrains(service, follower, files, nursery, told.tier.zone, entry.build, entry.labels)
+        follower.parts.append(part)
+        nursery.start_soon(part.run)
+        return part
+
+    return extend
+
+
+def keeping(told: KeepFile) -> Callable[[Administration], KeeperDrains]:
+    """What makes the keeper's part."""
+    regions = {
+        zone: name for name, zones in getattr(told.placement, "regions", {}).items() for zone in zones
+    }
+    return lambda administration: KeeperDrains(administration, told.drains, regions=regions)
+
+
+__all__ = ["Taken", "draining", "keeping"]
--- /dev/null
+++ b/gaugehinge/drains/router.py
@@ -0,0 +1,433 @@
+"""Drains at a router: lines are opened and used within its grant, closed lines counted until the server has
+closed them, and an order to end is carried out as SIGTERM would be.
+
+Clock: the one that goes on while the machine sleeps, read at each opening and each use of a line.
+"""
+
+from __future__ import annotations
+
+import signal
+import socket
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+import trio
+from loguru import logger
+
+from ..hosted.follower import Follower
+from ..hosted.roster import BadFeed
+from ..net.phase import Phase
+from ..net.pool import REST_TIME, Line, Place, Travel
+from ..net.service import Service
+from ..tenancy.feed import Feed
+from ..tenancy.lease import DRIFT, SLACK
+from ..terms import Outcome, Presence
+from .files import NodeFile
+from .forms import MOST_SERVERS, NAME, Said, ServerSaid, Told
+from .grants import ORIGIN, SERVERS, Figures, Holding
+
+TICK = 0.1  # seconds between two looks at what is open
+SPAN = 5.0  # seconds of a measure: need is the most of the last one or two of them
+FIRST_CLOSING = 15.0  # seconds, until a keeper says how long stores take to close what a silent node left
+MOST_WAITING = 256  # legs that wait for a line to one server
+WAIT_PART = 0.5  # of a leg's time that it waits for a line; then another server is tried, or it is bounced
+LEASE_PART = 0.25  # of a lease that a call may stand open
+FAREWELL = 1.0  # seconds for closing all and saying so
+FORCED = 0.5  # of the closing time after a lease: what is still busy over the floor is cut off
+
+
+def sleepless() -> float:
+    """Seconds of a clock that nobody sets and that goes on while the machine sleeps."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@dataclass(slots=True)
+class Store:
+    """Lines to one server. It leaves with its last line, once the server has left the list."""
+
+    open: int = 0  # connecting, idle and busy
+    closing: int = 0
+    waiting: deque[Travel] = field(default_factory=deque)
+    peak: int = 0  # in use and waited for, the most in this span
+    before: int = 0  # and in the last one
+    over_since: float = 0.0  # lines are over what may be; 0: they are not
+
+    @property
+    def counted(self) -> int:
+        return self.open + self.closing
+
+
+@dataclass(slots=True, eq=False)
+class RouterDrains:
+    """`hosted.follower.Part` and `net.pool.Warden`."""
+
+    service: Service
+    follower: Follower
+    files: NodeFile
+    nursery: trio.Nursery
+    zone: str = ""
+    build: str = ""
+    labels: tuple[str, ...] = ()
+    end: Callable[[], None] = lambda: signal.raise_signal(signal.SIGTERM)
+    clock: Callable[[], float] = sleepless
+    name: str = NAME
+    holding: Holding = field(init=False)
+    stores: dict[str, Store] = field(default_factory=dict)  # by the list's names; `origin`
+    closing: float = FIRST_CLOSING
+    turn: int = 0
+    asked: float = 0.0
+    ready_since: float = 0.0
+    settled: int = 0
+    lost: int = 0
+    left: str = ""  # the roll that told this run to end
+    said_refused: str = ""
+    asks_list: bool = False
+    was_good: bool = False
+    span_at: float = 0.0
+    span_ops: int = 0
+    span_cpu: float = 0.0
+    rate: float = 0.0
+    busy: float = 0.0
+    used: float = 0.0
+    saving: bool = False
+
+    def __post_init__(self) -> None:
+        now = self.clock()
+        kept = self.files.kept
+        self.closing = kept.closing or FIRST_CLOSING
+        from_ = now + self.closing * (1.0 + DRIFT) + SLACK
+        self.holding = Holding(dict(kept.floors), from_, kept.admitted)
+        self.span_at, self.span_cpu = now, time.process_time()
+        self.service.pool.warden = self
+        self.service.dispatch.noted = self._noted
+        self.service.farewells.append(self.farewell)
+
+    # -- which store
+
+    def store_name(self, place: Place) -> str:
+        origin = self.service.dispatch.router.origin
+        return ORIGIN if origin is not None and origin.ident == place.ident else place.uid
+
+    def _store(self, place: Place) -> Store:
+        name = self.store_name(place)
+        found = self.stores.get(name)
+        if found is None:
+            found = self.stores[name] = Store()
+        return found
+
+    # -- net.pool.Warden
+
+    def may_open(self, place: Place) -> bool:
+        """Closing lines count: the server may hold them still."""
+        return self._store(place).counted < self.holding.most(self.store_name(place), self.clock())
+
+    def may_use(self, line: Line) -> bool:
+        """A line over what may be open now carries nothing more: else it would outlive its closing time."""
+        store = self._store(line.place)
+        store.peak = max(store.peak, store.open - len(line.place.idle) + len(store.waiting))
+        return store.open <= self.holding.most(self.store_name(line.place), self.clock())
+
+    def opened(self, line: Line) -> None:
+        store = self._store(line.place)
+        store.open += 1
+        store.peak = max(store.peak, store.open - len(line.place.idle) + len(store.waiting))
+
+    def rested(self, line: Line) -> None:
+        store = self._store(line.place)
+        if store.open > self.holding.most(self.store_name(line.place), self.clock()):
+            line.place.idle.remove(line)
+            self.service.pool._close(line)
+        elif store.waiting:
+            pool = self.service.pool
+            pool.deadlines.at(pool.clock() + 1.1 * REST_TIME, self._serve, line.place)
+
+    def closed(self, line: Line) -> None:
+        """Say that no more comes, and count the line until the server has closed it, too."""
+        store = self._store(line.place)
+        store.open -= 1
+        try:
+            line.raw.getpeername()
+            half = line.raw.dup()
+        except OSError:
+            return  # it never came up, or was reset: nothing stands at the server
+        try:
+            half.setblocking(False)
+            half.shutdown(socket.SHUT_WR)
+        except OSError:
+            half.close()
+            return
+        store.closing += 1
+        self.nursery.start_soon(self._see_out, half, store, line.place)
+
+    async def _see_out(self, half: socket.socket, store: Store, place: Place) -> None:
+        try:
+            with trio.move_on_after(self.closing):
+                while True:
+                    await trio.lowlevel.wait_readable(half)
+                    if not half.recv(65536):
+                        break
+        except OSError:
+            pass  # reset: it is closed there
+        finally:
+            half.close()
+            store.closing -= 1
+        self._serve(place)
+
+    # -- legs that wait for a line
+
+    def wait(self, place: Place, travel: Travel) -> bool:
+        store = self._store(place)
+        if len(store.waiting) >= MOST_WAITING or self.holding.closed:
+            return False
+        pool = self.service.pool
+        pool.deadlines.drop(travel.time_out)
+        now = pool.clock()
+        travel.time_out = pool.deadlines.at(
+            now + WAIT_PART * max(travel.due - now, 0.0), self._waited_out, store, travel
+        )
+        store.waiting.append(travel)
+        store.peak = max(store.peak, store.open - len(place.idle) + len(store.waiting))
+        return True
+
+    def _waited_out(self, store: Store, travel: Travel) -> None:
+        if travel in store.waiting:
+            store.waiting.remove(travel)
+            self.service.pool._end_soon(travel, Outcome.NEVER_SENT)
+
+    def _serve(self, place: Place) -> None:
+        """Lines that are free, and openings that are, to the legs that wait longest."""
+        store, pool = self._store(place), self.service.pool
+        while store.waiting:
+            travel = store.waiting[0]
+            if pool.travels.get(travel.leg) is not travel or travel.leg.operation.over:
+                store.waiting.popleft()
+                continue
+            if pool.places.get(place.ident) is not place:
+                store.waiting.popleft()
+                pool._end_soon(travel, Outcome.NEVER_SENT)
+                continue
+            line = pool._warm(place)
+            if line is None and not (self.may_open(place) and pool._make_room()):
+                return
+            store.waiting.popleft()
+            pool.deadlines.drop(travel.time_out)
+            travel.time_out = pool.deadlines.at(travel.due, pool._late, travel)
+            if line is not None:
+                pool._start(line, travel)
+            else:
+                pool._open(place, travel)
+
+    # -- what is over goes
+
+    def shed(self) -> None:
+        """Idle lines over what may be open are closed at once; busy ones when their leg ends, at the latest
+        in half of the closing time."""
+        now, pool = self.clock(), self.service.pool
+        places = {self.store_name(place): place for place in pool.places.values()}
+        for name, store in list(self.stores.items()):
+            most = self.holding.most(name, now)
+            place = places.get(name)
+            while place is not None and place.idle and store.open > most:
+                pool._close(place.idle.pop(0))
+            if store.open <= most:
+                store.over_since = 0.0
+            elif not store.over_since:
+                store.over_since = now
+            elif now - store.over_since > FORCED * self.closing:
+                self._cut(name, store.open - most)
+            if place is not None and store.waiting:
+                self._serve(place)
+            if place is None and not store.counted and not store.waiting:
+                del self.stores[name]
+
+    def _cut(self, name: str, count: int) -> None:
+        pool = self.service.pool
+        for travel in list(pool.travels.values()):
+            if count and travel.line is not None and self.store_name(travel.line.place) == name:
+                pool._close(travel.line)  # its reader wakes, and its leg ends as broken
+                count -= 1
+
+    def _close_drained(self) -> None:
+        """Nothing more goes to a server that drains: what is idle there is closed before its time."""
+        drained = self.follower.overlay.drained
+        for place in self.service.pool.places.values() if drained else ():
+            while place.uid in drained and place.idle:
+                self.service.pool._close(place.idle.pop(0))
+
+    async def run(self) -> None:
+        """Look at what is open, until cancelled."""
+        while True:
+            await trio.sleep(TICK)
+            now = self.clock()
+            if self.service.course.phase is Phase.READY and not self.ready_since:
+                self.ready_since = now
+            good = self.holding.held.good(now)
+            if good is not self.was_good:
+                self.was_good = good
+                state = f"granted {self.holding.values}" if good else f"at its floor {self.holding.floors}"
+                logger.info("connections {}: number {}", state, self.holding.number)
+            self.shed()
+            self._close_drained()
+            self._measure(now)
+
+    def _measure(self, now: float) -> None:
+        origin = self.stores.get(ORIGIN)
+        if origin is not None:
+            place = next((p for p in self.service.pool.places.values() if self.store_name(p) == ORIGIN), None)
+            in_use = origin.open - (len(place.idle) if place is not None else 0)
+            self.used += 0.05 * (in_use - self.used)
+        span = now - self.span_at
+        if span < SPAN:
+            return
+        ops, cpu = self.settled + self.lost, time.process_time()
+        self.rate, self.busy = (ops - self.span_ops) / span, (cpu - self.span_cpu) / span
+        self.span_at, self.span_ops, self.span_cpu = now, ops, cpu
+        for store in self.stores.values():
+            store.before, store.peak = store.peak, len(store.waiting)
+
+    def _noted(self, reply: bytes) -> None:
+        if reply.startswith((b"-BUSY", b"-ERR failed")):
+            self.lost += 1
+        else:
+            self.settled += 1
+
+    # -- hosted.follower.Part
+
+    def report(self) -> bytes | None:
+        self.turn += 1
+        now = self.asked = self.clock()
+        kept, holding = self.files.kept, self.holding
+        named = {*holding.values, *holding.floors} - {ORIGIN, SERVERS}
+        counted = self._figures(named, lambda store: store.counted)
+        need = self._figures(named, lambda store: max(store.peak, store.before))
+        floors = {
+            name: max(holding.floors.get(name, 0), kept.floors.get(name, 0))
+            for name in {*holding.floors, *kept.floors}
+        }
+        phase = self.service.course.phase
+        drained = self.follower.overlay.drained
+        said = Said(
+            f"{self.service.berth.name}@{kept.ident}", kept.run_number, self.turn, holding.number,
+            holding.mark, holding.holds(now), counted, need, floors if kept.admitted else {}, kept.admitted,
+            holding.closed,
+            self.zone, self.build, list(self.labels), now - self.ready_since if self.ready_since else 0.0,
+            bool(self.left) or phase in (Phase.LEAVING, Phase.CLOSING), self._in_hand(), self.settled,
+            self.lost, self.busy, max(self.used, 0.0), self.rate,
+            {uid: self._out(uid) for uid in sorted(drained)[:MOST_SERVERS]}, self._legs(),
+            self._listed() if self.asks_list else [],
+        )
+        return msgspec.json.encode(said)
+
+    def _figures(self, named: set[str], of: Callable[[Store], int]) -> Figures:
+        found = {ORIGIN: 0, SERVERS: 0} | dict.fromkeys(named, 0)
+        for name, store in self.stores.items():
+            key = name if name in found else SERVERS
+            found[key] = max(found[key], of(store))
+        return found
+
+    def _out(self, uid: str) -> int:
+        store = self.stores.get(uid)
+        return store.counted + len(store.waiting) if store is not None else 0
+
+    def _legs(self) -> int:
+        return sum(not travel.leg.server.origin for travel in self.service.pool.travels.values())
+
+    def _listed(self) -> list[ServerSaid]:
+        origin = self.service.dispatch.router.origin
+        return [
+            ServerSaid(
+                target.uid, target.listing.zone, target.listing.kind, target.listing.presence is Presence.UP,
+                target.listing.started,
+            )
+            for target in self.follower.overlay.told
+            if origin is None or target.listing.ident != origin.ident
+        ][:MOST_SERVERS]
+
+    def hear(self, feed: Feed, asked_at: float) -> None:
+        raw = feed.parts.get(NAME)
+        if raw is None:
+            return
+        try:
+            told = msgspec.json.decode(raw, type=Told)
+        except msgspec.MsgspecError as bad:
+            raise BadFeed(f"drains: {bad}") from None
+        if told.again >= self.files.kept.run_number:
+            # Two more, not one: of runs after the last known one nobody knows what they left open.
+            number = told.again + 2
+            logger.warning("drains: the file is of before run {}: this is run {}", told.again, number)
+            kept = msgspec.structs.replace(self.files.kept, run_number=number)
+            if not self.files.save(kept):
+                self.files.kept = kept
+            return
+        if told.closing:
+            self.closing = told.closing
+        if told.refused != self.said_refused:
+            self.said_refused = told.refused
+            if told.refused:
+                logger.warning("connections: not admitted by the keeper: {}", told.refused)
+        self.asks_list = told.servers
+        grant = told.grant()
+        if grant is not None and self.holding.hear(grant, self.asked):
+            self.holding.floors, self.holding.admitted = dict(grant.floors), told.life
+            kept = self.files.kept
+            if (kept.admitted, kept.floors, kept.closing) != (told.life, grant.floors, self.closing):
+                self._save(told.life, dict(grant.floors))
+            self.follower.wait = min(self.follower.wait, LEASE_PART * grant.lease)
+            self.shed()
+        if told.leave and not self.left:
+            self.left = told.leave
+            logger.info("told to end by {}: {} operations in hand", told.leave, self._in_hand())
+            self.end()
+        elif told.hard and self.left:
+            logger.warning("told to end at once by {}: {} in hand", told.leave, self._in_hand())
+            self.service.dispatch.forfeit_rest()
+            self.nursery.cancel_scope.cancel()
+
+    def _in_hand(self) -> int:
+        return len(self.service.dispatch.exchanges)
+
+    def _save(self, life: str, floors: Figures) -> None:
+        if self.saving:
+            return
+        self.saving = True
+        kept = msgspec.structs.replace(
+            self.files.kept, admitted=life, floors=floors, closing=self.closing
+        )
+
+        async def save() -> None:
+            try:
+                await trio.to_thread.run_sync(self.files.save, kept)
+            finally:
+                self.saving = False
+
+        self.nursery.start_soon(save)
+
+    def away(self) -> None:
+        """The clock alone says when the lease is over."""
+
+    # -- the end
+
+    async def farewell(self) -> None:
+        """All is answered: close all lines, and say so when the servers have closed them, too."""
+        self.holding.closed = True
+        pool = self.service.pool
+        for travel in list(pool.travels.values()):
+            pool.call_off(travel.leg)
+        for place in pool.places.values():
+            while place.idle:
+                pool._close(place.idle.pop())
+        with trio.move_on_after(FAREWELL):
+            while any(store.counted for store in self.stores.values()):
+                await trio.sleep(0.01)
+        left = sum(store.counted for store in self.stores.values())
+        with trio.move_on_after(FAREWELL):
+            self.follower.wait = 0.0
+            try:
+                await self.follower._call()
+            except Exception as bad:  # the keeper finds out by the lease, later
+                logger.info("the keeper was not told that all is closed: {}", type(bad).__name__)
+        logger.info("connections closed: {} left, run {}", left, self.files.kept.run_number)
+
--- a/gaugehinge/hosted/overlay.py
+++ b/gaugehinge/hosted/overlay.py
@@ -19,6 +19,11 @@
         self._told: dict[str, Target] = {}  # by the list's names, without those that are gone
         self._rev = 0
 
+    @property
+    def told(self) -> list[Target]:
+        """The list by discovery's word alone."""
+        return list(self._told.values())
+
     def hear_list(self, bulletin: Bulletin) -> Bulletin:
         """Discovery's list or changes of it, with the orders laid over."""
         if bulletin.whole:
--- a/gaugehinge/installation/form.py
+++ b/gaugehinge/installation/form.py
@@ -280,6 +280,17 @@
     """Connections to limited stores only as granted by the keeper (docs/drains.md)."""
 
     on: Annotated[bool, Meta(description="off: connections by this router's own limits alone")] = False
+    file: Annotated[
+        str, Meta(description="file by which this router is known over its runs; one for each, kept by it")
+    ] = ""
+    build: Annotated[str, Meta(description="of this router, as rolls name builds", max_length=200)] = ""
+    labels: Annotated[
+        tuple[str, ...], Meta(description="of this router, for rolls to choose by", max_length=64)
+    ] = ()
+
+    def __post_init__(self) -> None:
+        if self.on and not self.file:
+            raise BadField("file", "missing")
 
 
 class Installation(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/gaugehinge/net/dispatch.py
+++ b/gaugehinge/net/dispatch.py
@@ -51,6 +51,7 @@
         self.http = OriginDialect()
         self.locate: Callable[[Operation], None] | None = None  # where servers say who serves a key
         self.redirected: Callable[[Leg, Outcome, bytes], None] | None = None  # where servers redirect
+        self.noted: Callable[[bytes], None] | None = None  # hears each final answer
         self.pool: Pool
         self.follow: Callable[[], None]
         self.tell: Callable[[tuple[int, ...], bytes], None]
@@ -174,6 +175,8 @@
         exchange.answered = True
         exchange.operation.over = True
         exchange.answer(reply)
+        if self.noted is not None:
+            self.noted(reply)
 
     def _drop(self, exchange: Exchange) -> None:
         operation = exchange.operation
--- a/gaugehinge/net/pool.py
+++ b/gaugehinge/net/pool.py
@@ -107,6 +107,28 @@
     line: Line | None = None
 
 
+class Warden(Protocol):
+    """Who says how many lines may be open to each server, where that is not this router's alone to say."""
+
+    def may_open(self, place: Place) -> bool:
+        """Whether one more may be opened now."""
+
+    def may_use(self, line: Line) -> bool:
+        """Whether a line that stood idle may carry a leg now; else it is closed."""
+
+    def wait(self, place: Place, travel: Travel) -> bool:
+        """Keep a leg for which no line may be opened; False: it is not kept."""
+
+    def opened(self, line: Line) -> None:
+        """A line is about to connect."""
+
+    def rested(self, line: Line) -> None:
+        """A line's leg ended, and it is idle."""
+
+    def closed(self, line: Line) -> None:
+        """The pool has done with a line: its socket is the warden's to close."""
+
+
 class RespDialect:
     """The cache servers' protocol."""
 
@@ -171,6 +193,7 @@
         self.travels: dict[Leg, Travel] = {}  # until the leg ended
         self.lines = 0
         self.full = False
+        self.warden: Warden | None = None
         self._sweep()
 
     # -- the list
@@ -209,6 +232,9 @@
         line = self._warm(place) if place is not None else None
         if line is not None:
             self._start(line, travel)
+        elif place is not None and self.warden is not None and not self.warden.may_open(place):
+            if not self.warden.wait(place, travel):
+                self._end_soon(travel, Outcome.NEVER_SENT)
         elif place is None or not self._make_room():
             self._end_soon(travel, Outcome.NEVER_SENT)
         else:
@@ -294,7 +320,9 @@
         while rested:
             rested -= 1
             line = place.idle.pop(rested)
-            if line.idle_since > now - self.keep_time and silent(line.raw):
+            if line.idle_since > now - self.keep_time and silent(line.raw) and (
+                self.warden is None or self.warden.may_use(line)
+            ):
                 return line
             self._close(line)
         return None
@@ -323,6 +351,8 @@
             return
         self.lines += 1
         travel.line = Line(raw, place, travel.dialect.parser(), travel)
+        if self.warden is not None:
+            self.warden.opened(travel.line)
         self.nursery.start_soon(self._run, travel.line)
 
     async def _run(self, line: Line) -> None:
@@ -383,11 +413,15 @@
             return
         line.idle_since = self.clock()
         line.place.idle.append(line)
+        if self.warden is not None:
+            self.warden.rested(line)
 
     def _close(self, line: Line) -> None:
         if not line.closed:
             line.closed = True
             self.lines -= 1
+            if self.warden is not None:
+                self.warden.closed(line)
             shut(line.raw)
 
     def _sweep(self) -> None:
--- a/gaugehinge/net/service.py
+++ b/gaugehinge/net/service.py
@@ -4,7 +4,7 @@
 
 import signal
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
 
 import trio
@@ -49,6 +49,7 @@
         self.extend = extend
         self.kind = kind
         self.fronts: list[tuple[Clients, socket.socket]] = []  # the first is the platform's
+        self.farewells: list[Callable[[], Awaitable[None]]] = []  # once all is answered, before it ends
         self.early = early or EarlyHangup()
         self.new_door = new_door
         self.berth = berth
@@ -110,6 +111,8 @@
                     self._reread()
                 nursery.start_soon(self._told_again, signals)
                 await self._leave(accepting)
+                for farewell in self.farewells:
+                    await farewell()
             nursery.cancel_scope.cancel()
         self._enter(Phase.ENDED)
 
--- /dev/null
+++ b/tests/drainsmodel.py
@@ -0,0 +1,429 @@
+"""A model of grants in virtual time: nodes, a keeper and a store that counts, all by the real decisions.
+
+Time goes in ticks. What may happen at each step is a list of moves; `search` tries all of them from every
+state, up to a number of states. The store counts for itself: what a node opened counts until it closed it, or
+until the store does, `CLOSING` ticks after the node last could use it.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from dataclasses import dataclass, field, replace
+
+from gaugehinge.drains.grants import ORIGIN, Grant, Grants, Ground, Holding, Slot, Word
+from gaugehinge.tenancy.lease import DRIFT, SLACK, Held
+
+LEASE, CLOSING = 1.0, 3.0
+
+
+@dataclass(slots=True)
+class Node:
+    """One set of files, and the run on them."""
+
+    name: str
+    admitted: str = ""  # in its files
+    floors: dict = field(default_factory=dict)
+    run_number: int = 1
+    turn: int = 0
+    holding: Holding | None = None
+    open: int = 0  # by this run
+    paused: bool = False
+    want: int = 0
+    left: tuple = ()  # (count, when the store has closed them) of runs before
+    used_at: float = 0.0  # when the lines it has could be used last
+    rate: float = 1.0  # of its clock beside the keeper's
+
+    def clock(self, now: float) -> float:
+        return now * self.rate
+
+
+class World:
+    """Three nodes, one keeper, one store. Everything that a state is made of can be copied and compared."""
+
+    grants_kind: type = Grants
+
+    def __init__(self, limit: int = 5, floor: int = 1, nodes: int = 3, spare: int = 0) -> None:
+        self.now, self.limit, self.floor = 0.0, limit, floor
+        self.most_nodes = nodes + spare  # nodes that lost their files are others from then on
+        self.allowed = limit  # a limit that was lowered is kept from when the keeper says that it is reached
+        self.runs = 0
+        self.slots: dict[str, Slot] = {}
+        self.ground = Ground()
+        self.backup: tuple | None = None
+        self.nodes = [Node(f"n{i}") for i in range(nodes)]
+        for node in self.nodes:
+            self.boot(node)
+        self.late: list = []  # what the network still has: (node, word) and (node, run, grant, asked at)
+        self.keep(-100.0)
+
+    def keep(self, began: float) -> None:
+        self.runs += 1
+        self.keeper = self.grants_kind(
+            began, LEASE, CLOSING, self.most_nodes, {ORIGIN: self.floor}, 0.0, f"k{self.runs}", "life",
+            self.ground,
+        )
+        self.keeper.witnessed = self.ground.admissions
+
+    def boot(self, node: Node) -> None:
+        now = node.clock(self.now)
+        from_ = now + CLOSING * (1 + DRIFT) + SLACK
+        node.holding = Holding(dict(node.floors), from_, node.admitted)
+        node.open, node.paused, node.turn = 0, False, 0
+
+    # -- moves
+
+    def moves(self) -> list[tuple]:
+        found: list[tuple] = [("tick",)]
+        for i, node in enumerate(self.nodes):
+            if node.paused:
+                found.append(("wake", i))
+                continue
+            found += [("ask", i), ("crash", i), ("pause", i)]
+            if node.open < node.holding.most(ORIGIN, node.clock(self.now)):
+                found.append(("open", i))
+            if not self.late:
+                found += [("ask_late", i), ("answer_late", i)]
+        found += [("deliver", j) for j in range(len(self.late))]
+        if self.late:
+            found.append(("repeat",))
+        if self.backup is None:
+            found.append(("copy",))
+        return [*found, ("keeper",), ("older",)]
+
+    def do(self, move: tuple) -> None:
+        getattr(self, "_" + move[0])(*move[1:])
+
+    def _tick(self) -> None:
+        self.now += 1.0
+        for node in self.nodes:
+            node.left = tuple(each for each in node.left if each[1] > self.now)
+            self._shed(node)
+            if node.paused and node.open and self.now >= node.used_at + CLOSING:
+                node.open = 0  # the store closes what nobody says anything on
+        self._plan()
+
+    def _shed(self, node: Node) -> None:
+        """A node that runs closes at once what is over; one that stands still closes nothing."""
+        if node.paused:
+            return
+        node.open = min(node.open, node.holding.most(ORIGIN, node.clock(self.now)))
+        node.used_at = self.now
+
+    def _plan(self) -> None:
+        changed = self.keeper.plan(self.slots, {ORIGIN: self.limit}, self.now)
+        self.slots = {**self.slots, **changed}
+        self.ground = self.keeper.ground
+        self.keeper.witnessed = self.ground.admissions
+        if self.keeper.reached(self.slots.values(), ORIGIN, self.limit, self.now):
+            self.allowed = self.limit
+
+    def word(self, node: Node) -> Word:
+        node.turn += 1
+        held = node.holding
+        holds = held.holds(node.clock(self.now))
+        return Word(
+            node.name, f"{node.name}.{node.run_number}", node.run_number, node.turn, held.number, held.mark,
+            holds, {ORIGIN: node.open}, {ORIGIN: node.want or node.open + 1}, dict(node.floors),
+            node.admitted, held.closed,
+        )
+
+    def answer(self, word: Word) -> Grant | None:
+        if not self.keeper.hear(word, self.now):
+            return None
+        self._plan()
+        slot = self.slots.get(word.node)
+        return self.keeper.tell(slot, word, self.now) if slot is not None else None
+
+    def take(self, node: Node, grant: Grant | None, asked_at: float) -> None:
+        if grant is None or node.paused:
+            return
+        if node.holding.hear(grant, asked_at):
+            node.admitted, node.floors = "life", dict(grant.floors)
+            node.holding.admitted, node.holding.floors = "life", dict(grant.floors)
+            self._shed(node)
+
+    def _ask(self, i: int) -> None:
+        node = self.nodes[i]
+        self.take(node, self.answer(self.word(node)), node.clock(self.now))
+
+    def _ask_late(self, i: int) -> None:
+        self.late.append(("word", i, self.word(self.nodes[i]), 0.0))
+
+    def _answer_late(self, i: int) -> None:
+        node = self.nodes[i]
+        word = self.word(node)
+        grant = self.answer(word)
+        if grant is not None:
+            self.late.append(("grant", i, (word.run, grant), node.clock(self.now)))
+
+    def _deliver(self, j: int) -> None:
+        kind, i, what, asked_at = self.late.pop(j)
+        node = self.nodes[i]
+        if kind == "word":
+            self.answer(what)
+        elif what[0] == f"{node.name}.{node.run_number}":
+            self.take(node, what[1], asked_at)
+
+    def _repeat(self) -> None:
+        if self.late[0][0] == "word":
+            self.answer(self.late[0][2])
+
+    def _open(self, i: int) -> None:
+        node = self.nodes[i]
+        node.open = node.holding.most(ORIGIN, node.clock(self.now))
+
+    def _crash(self, i: int) -> None:
+        node = self.nodes[i]
+        if node.open:
+            node.left = (*node.left, (node.open, self.now + CLOSING))
+        node.run_number += 1
+        self.boot(node)
+
+    def _pause(self, i: int) -> None:
+        self.nodes[i].paused = True
+
+    def _wake(self, i: int) -> None:
+        node = self.nodes[i]
+        node.paused = False
+        self._shed(node)
+
+    def _end(self, i: int) -> None:
+        """Told to end: all is closed, that is said, and a run after it starts at once."""
+        node = self.nodes[i]
+        node.open, node.holding.closed = 0, True
+        self.answer(self.word(node))
+        node.run_number += 1
+        self.boot(node)
+
+    def _end_unheard(self, i: int) -> None:
+        node = self.nodes[i]
+        node.open = 0
+        node.run_number += 1
+        self.boot(node)
+
+    def _older_files(self, i: int) -> None:
+        """It ends, and starts on a copy of its files from before."""
+        node = self.nodes[i]
+        self._crash(i)
+        node.run_number = max(node.run_number - 3, 1)
+        self.boot(node)
+        slot = self.slots.get(node.name)
+        if slot is not None and node.run_number <= slot.run_number:
+            node.run_number = slot.run_number + 2  # as the keeper tells it
+
+    def _lose_files(self, i: int) -> None:
+        node = self.nodes[i]
+        node.paused = True  # for ever: it may be on a machine that is cut off, or gone
+        other = Node(f"n{len(self.nodes)}", rate=node.rate)
+        self.boot(other)
+        self.nodes.append(other)
+
+    def _limit(self, most: int) -> None:
+        self.limit = most
+        self.allowed = max(self.allowed, most)
+
+    def _keeper(self) -> None:
+        self.keep(self.now)
+
+    def _copy(self) -> None:
+        self.backup = self.slots, self.ground
+
+    def _older(self) -> None:
+        if self.backup is not None:
+            self.slots, self.ground = self.backup
+            self.keep(self.now)
+
+    # -- what must hold
+
+    def counted(self) -> int:
+        """What the store counts."""
+        return sum(node.open + sum(count for count, _ in node.left) for node in self.nodes)
+
+    # -- as a value
+
+    def copy(self) -> World:
+        other = object.__new__(type(self))
+        other.now, other.limit, other.floor, other.runs = self.now, self.limit, self.floor, self.runs
+        other.most_nodes, other.allowed = self.most_nodes, self.allowed
+        other.slots, other.ground, other.backup = self.slots, self.ground, self.backup
+        other.late = list(self.late)
+        other.nodes = []
+        for node in self.nodes:
+            held = node.holding
+            copied = replace(held, held=Held(held.held.until))
+            other.nodes.append(replace(node, holding=copied))
+        keeper = self.keeper
+        other.keeper = replace(
+            keeper, words=dict(keeper.words), heard=dict(keeper.heard), given=dict(keeper.given),
+            gone_by=dict(keeper.gone_by), liars=set(keeper.liars), refused=dict(keeper.refused),
+            fresh=set(keeper.fresh),
+        )
+        return other
+
+    def state(self) -> tuple:
+        """What tells two states apart, with times as they stand to now."""
+        now, keeper = self.now, self.keeper
+
+        def ago(at: float) -> float:
+            return max(now - at, -9.0) if now - at < 9.0 else 9.0
+
+        nodes = tuple(
+            (
+                n.admitted, n.open, n.paused, n.holding.number - self._base(n),
+                n.holding.mark == self._mark(n),
+                tuple(n.holding.values.items()), ago(n.holding.held.until), ago(n.holding.floor_from),
+                tuple((c, ago(t)) for c, t in n.left), ago(n.used_at) if n.paused else 0.0,
+            )
+            for n in self.nodes
+        )
+        slots = tuple(
+            (
+                s.node, s.run == f"{s.node}.{self._node(s.node).run_number}", tuple(s.values.items()),
+                tuple(s.ceilings.items()), tuple(s.remains.items()),
+            )
+            for s in self.slots.values()
+        )
+        words = tuple(
+            (
+                w.node, w.run_number - self._node(w.node).run_number, w.number - self.slots[w.node].number
+                if w.node in self.slots else w.number, tuple(w.counted.items()), tuple(w.need.items()),
+                ago(keeper.heard[w.node]),
+            )
+            for w in keeper.words.values()
+        )
+        given = tuple((node, ago(each.at)) for node, each in keeper.given.items())
+        gone = tuple((node, ago(at)) for node, at in keeper.gone_by.items() if self.slots[node].remains)
+        late = tuple(
+            (kind, i, ago(at), what.number if kind == "word" else what[1].number - self._base(self.nodes[i]))
+            for kind, i, what, at in self.late
+        )
+        backup = self.backup and (self.backup[0] == self.slots, len(self.backup[0]))
+        return nodes, slots, words, given, gone, late, ago(keeper.began), backup
+
+    def _node(self, name: str) -> Node:
+        return self.nodes[int(name[1:])]
+
+    def _base(self, node: Node) -> int:
+        return self.slots[node.name].number if node.name in self.slots else 0
+
+    def _mark(self, node: Node) -> str:
+        return self.slots[node.name].mark if node.name in self.slots else ""
+
+
+def begun(kind: type[World], moves: tuple = (("open", 0),)) -> World:
+    """All admitted; the first holds most of the limit, and the others want more than they have."""
+    world = kind()
+    for i in (0, 1, 2, 0, 0):
+        world.nodes[i].want = 3 if i == 0 else 0
+        world.do(("ask", i))
+    for i, node in enumerate(world.nodes):
+        node.want = 3 if i else 1
+    for move in moves:
+        world.do(move)
+    return world
+
+
+def search(first: World, most: int) -> tuple[int, int, list[tuple] | None]:
+    """States and transitions looked at from a first one, breadth first, and the moves to the first state in
+    which the store counts more than its limit (None: there is none)."""
+    seen = {first.state()}
+    queue: deque[tuple[World, tuple | None]] = deque([(first, None)])
+    transitions = 0
+    while queue and len(seen) < most:
+        world, path = queue.popleft()
+        for move in world.moves():
+            after = world.copy()
+            after.do(move)
+            transitions += 1
+            if after.counted() > after.allowed:
+                return len(seen), transitions, unwind((move, path))
+            state = after.state()
+            if state not in seen:
+                seen.add(state)
+                queue.append((after, (move, path)))
+    return len(seen), transitions, None
+
+
+def unwind(path: tuple | None) -> list[tuple]:
+    moves = []
+    while path is not None:
+        moves.append(path[0])
+        path = path[1]
+    return moves[::-1]
+
+
+class KillIsProof(Grants):
+    """A fault: a successor's start counts as the end of all that its predecessor had open."""
+
+    def _succeed(self, slot: Slot, word: Word, now: float) -> Slot:
+        after = super()._succeed(slot, word, now)
+        return type(after)(**{f: getattr(after, f) for f in after.__struct_fields__} | {"remains": {}})
+
+
+class LeaseWithoutClosing(Grants):
+    """A fault: what a silent node had open counts as closed when its lease is over."""
+
+    closed_after = 0.0
+
+
+class RaisesAtOnce(Grants):
+    """A fault: one that starts anew takes what its store says for all there is."""
+
+    settled_at = -100.0
+
+
+class ConfirmsByRun(Grants):
+    """A fault: any word of the run counts as one that follows the last number."""
+
+    def _learn(self, table, node, word, now):
+        super()._learn(table, node, word, now)
+        slot = table.get(node)
+        if slot is not None and slot.run == word.run:
+            table[node] = Slot(**{f: getattr(slot, f) for f in slot.__struct_fields__} | {
+                "ceilings": {s: max(v, word.counted.get(s, 0)) for s, v in slot.values.items()}
+            })
+
+
+class FromArrival(World):
+    """A fault: a node counts its lease from when the answer came."""
+
+    def take(self, node: Node, grant: Grant | None, asked_at: float) -> None:
+        super().take(node, grant, node.clock(self.now))
+
+
+def kind(grants: type[Grants]) -> type[World]:
+    """A world whose keeper decides by these."""
+    return type(grants.__name__, (World,), {"grants_kind": grants})
+
+
+def walk(made: type[World], seed: int, steps: int) -> str:
+    """A long way of chance through a wider world: clocks at odds, limits lowered, ends in order, files lost.
+    Empty, or what broke."""
+    draw = random.Random(seed)
+    floor = draw.choice([1, 1, 2])
+    world = made(draw.choice([6, 8, 12]) * floor, floor, 3, 3)
+    first = world.limit
+    for node in world.nodes:
+        node.rate = draw.choice([1.0, 1.0 - DRIFT / 2, 1.0 + DRIFT / 2])
+    rare = {"crash": 0.1, "keeper": 0.05, "older": 0.03, "copy": 0.3, "pause": 0.15}
+    path = []
+    for _ in range(steps):
+        for node in world.nodes:
+            if draw.random() < 0.1:
+                node.want = draw.randrange(9)
+        moves = [move for move in world.moves() if draw.random() < rare.get(move[0], 1.0)]
+        if draw.random() < 0.05:
+            up = [i for i, node in enumerate(world.nodes) if not node.paused]
+            more = [("limit", draw.randrange(world.most_nodes * floor, first + 1))]
+            if up:
+                more += [(what, draw.choice(up)) for what in ("end", "end_unheard", "older_files")]
+                if len(world.nodes) < world.most_nodes:
+                    more.append(("lose_files", draw.choice(up)))
+            moves = more
+        move = draw.choice(moves)
+        world.do(move)
+        path.append(move)
+        if world.counted() > world.allowed:
+            return f"seed {seed}, step {len(path)}: {world.counted()} of {world.allowed} after {path[-12:]}"
+    return ""
