--- a/gaugehinge/drains/router.py
+++ b/gaugehinge/drains/router.py
@@ -11,6 +11,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import msgspec
@@ -36,6 +37,7 @@
 WAIT_PART = 0.5  # of a leg's time that it waits for a line; then another server is tried, or it is bounced
 LEASE_PART = 0.25  # of a lease that a call may stand open
 FAREWELL = 1.0  # seconds for closing all and saying so
+RESET_TIME = 1.0  # seconds for which a line counts that was reset, or that never came up
 FORCED = 0.5  # of the closing time after a lease: what is still busy over the floor is cut off
 
 
@@ -148,33 +150,37 @@
         """Say that no more comes, and count the line until the server has closed it, too."""
         store = self._store(line.place)
         store.open -= 1
-        try:
-            line.raw.getpeername()
-            half = line.raw.dup()
-        except OSError:
-            return  # it never came up, or was reset: nothing stands at the server
-        try:
-            half.setblocking(False)
-            half.shutdown(socket.SHUT_WR)
-        except OSError:
-            half.close()
-            return
         store.closing += 1
+        half = None
+        with suppress(OSError):  # it never came up, or was reset
+            half = line.raw.dup()
         self.nursery.start_soon(self._see_out, half, store, line.place)
 
-    async def _see_out(self, half: socket.socket, store: Store, place: Place) -> None:
+    async def _see_out(self, half: socket.socket | None, store: Store, place: Place) -> None:
+        """Until the server has closed it; the router's own end is the nursery's."""
         try:
+            if half is None or not await self._closes(half):
+                await trio.sleep(RESET_TIME)
+        finally:
+            if half is not None:
+                half.close()
+            store.closing -= 1
+        self._serve(place)
+
+    async def _closes(self, half: socket.socket) -> bool:
+        """Whether the server closed it, or the time is over in which it certainly has; False: it was reset,
+        and the server's process may not know yet."""
+        try:
+            half.setblocking(False)
+            half.shutdown(socket.SHUT_WR)
             with trio.move_on_after(self.closing):
                 while True:
                     await trio.lowlevel.wait_readable(half)
                     if not half.recv(65536):
                         break
         except OSError:
-            pass  # reset: it is closed there
-        finally:
-            half.close()
-            store.closing -= 1
-        self._serve(place)
+            return False
+        return True
 
     # -- legs that wait for a line
 
--- a/gaugehinge/emulator/cacheparty.py
+++ b/gaugehinge/emulator/cacheparty.py
@@ -15,7 +15,7 @@
 from ..net.sockets import receive, send_all, shut
 from .doors import parse_labels
 from .machine import Strain
-from .party import KEEP_IDLE, Bench, Doorkeeper, MarkBook, ServerPart, own, say
+from .party import Bench, Doorkeeper, MarkBook, ServerPart, own, say
 
 COLD_PART = 0.3  # of its speed that a cold server has
 FALL_MULTIPLE, FALL_TIME = 2.5, 1.0  # a cold one falls over, sent so many times what it can do for so long
@@ -96,7 +96,7 @@
             return
         parser = Parser(MOST_VALUE)
         while True:
-            with trio.move_on_after(KEEP_IDLE) as limit:
+            with trio.move_on_after(self.part.keep_idle) as limit:
                 data = await receive(raw)
             if limit.cancelled_caught or not data:
                 return
--- a/gaugehinge/emulator/originparty.py
+++ b/gaugehinge/emulator/originparty.py
@@ -17,7 +17,7 @@
 from .cacheparty import Filled
 from .doors import parse_labels
 from .origin import http_answer
-from .party import KEEP_IDLE, Bench, Doorkeeper, MarkBook, OriginPart, own, say
+from .party import Bench, Doorkeeper, MarkBook, OriginPart, own, say
 
 MOST_KEPT = 100_000  # keys; the one written longest ago goes first
 MOST_BODY = 1 << 20
@@ -65,7 +65,7 @@
         talk = h11.Connection(h11.SERVER)
         head, body = None, bytearray()
         while True:
-            with trio.move_on_after(KEEP_IDLE) as limit:
+            with trio.move_on_after(self.part.keep_idle) as limit:
                 data = await receive(raw)
             if limit.cancelled_caught:
                 return
--- a/gaugehinge/emulator/party.py
+++ b/gaugehinge/emulator/party.py
@@ -49,6 +49,7 @@
     falls: bool
     cores: int = 4
     queue: int = 200
+    keep_idle: float = KEEP_IDLE
 
 
 class OriginPart(Part, tag="origin"):
@@ -60,6 +61,7 @@
     servers: list[tuple[str, int]]  # where they hear of values
     cores: int = 16
     queue: int = 400
+    keep_idle: float = KEEP_IDLE
 
 
 class Listed(msgspec.Struct):
--- a/gaugehinge/rehearsal/company.py
+++ b/gaugehinge/rehearsal/company.py
@@ -37,7 +37,7 @@
 from ..admin.service import Administration
 from ..admin.types import NewTenant
 from ..emulator.link import Fault, Links, State
-from ..emulator.party import DirectoryPart, Listed, OriginPart, Part, ServerPart
+from ..emulator.party import KEEP_IDLE, DirectoryPart, Listed, OriginPart, Part, ServerPart
 from ..histories.checks import Bounds
 from ..histories.events import Change, Link, Process, Recorder
 from ..net.resp import bulk
@@ -83,6 +83,7 @@
     origin_bears: int = 0  # connections that the origin bears; 0: not limited
     server_bears: int = 0  # that each server bears from all routers
     warm_up: float = 2.0  # seconds for which a server that has just started counts as cold
+    keep_idle: float = KEEP_IDLE  # seconds after which servers and origin close a connection that is idle
     falls: bool = False  # a cold server that is pushed past 2.5 times what it can do falls over
     lease: float = 1.5  # seconds that the keeper gives routers
     allowance: float = 1000.0  # operations a second of each tenant that are inside its share
@@ -243,14 +244,14 @@
             self.listed[name] = Listed(name, f"{host}:6379", zone, "std", 0 if plan.asks_origin else number)
             self._write_part(ServerPart(
                 *common(name, ground.server(number)), zone, plan.asks_origin, plan.work, plan.server_bears,
-                plan.warm_up, MEMORY, False, plan.falls,
+                plan.warm_up, MEMORY, False, plan.falls, keep_idle=plan.keep_idle,
             ))
         host = ground.at(0, 3).replace(".0.", ".{router}.")
         if plan.asks_origin:
             self.listed["origin"] = Listed("origin", f"{host}:8000", "", "origin", 0)
         self._write_part(OriginPart(
             *common("origin", ground.origin()), plan.work * ORIGIN_PART, plan.origin_bears, MEMORY,
-            [ground.server(number) for number in range(plan.servers)],
+            [ground.server(number) for number in range(plan.servers)], keep_idle=plan.keep_idle,
         ))
 
     def _write_part(self, part: Part) -> None:
