--- a/gaugehinge/drains/forms.py
+++ b/gaugehinge/drains/forms.py
@@ -73,6 +73,7 @@
     values: dict[str, int] = {}
     floors: dict[str, int] = {}
     lease: float = 0.0  # seconds, from when the router asked
+    clear: bool = False  # as in Grant
     closing: float = 0.0  # seconds within which all over its floor has to be closed once its lease is over
     again: int = 0  # its run number has to be over this: its files are older than its last run
     leave: str = ""  # the roll that tells this run to end
@@ -84,4 +85,4 @@
         """None where none is told."""
         if not self.number:
             return None
-        return Grant(self.number, self.mark, dict(self.values), dict(self.floors), self.lease)
+        return Grant(self.number, self.mark, dict(self.values), dict(self.floors), self.lease, self.clear)
--- a/gaugehinge/drains/grants.py
+++ b/gaugehinge/drains/grants.py
@@ -76,6 +76,7 @@
     values: Figures
     floors: Figures
     lease: float  # seconds
+    clear: bool = False  # nothing is open of runs before this one: its floor need not wait for them
 
 
 class Ground(msgspec.Struct, frozen=True):
@@ -137,6 +138,8 @@
             self.number, self.mark, self.values = grant.number, grant.mark, dict(grant.values)
             # The lease of one number says nothing of the next: only this answer's does.
             self.held = Held()
+        if grant.clear:
+            self.floor_from = float("-inf")
         self.held.renew(asked_at, grant.lease)
         return True
 
@@ -499,7 +502,9 @@
         if slot.number < word.number or (slot.number == word.number and slot.mark != word.mark):
             return None  # the next plan takes its number over
         self.given[slot.node] = Given(now, self.lease, slot.number)
-        return Grant(slot.number, slot.mark, slot.values, _most(self.floors, {}), self.lease)
+        return Grant(
+            slot.number, slot.mark, slot.values, dict(self.floors), self.lease, not slot.remains
+        )
 
 
 def _most(*each: Mapping[str, int]) -> Figures:
--- a/gaugehinge/drains/keeper.py
+++ b/gaugehinge/drains/keeper.py
@@ -180,7 +180,7 @@
         if grant is not None:
             told = msgspec.structs.replace(
                 told, number=grant.number, mark=grant.mark, values=grant.values, floors=grant.floors,
-                lease=grant.lease,
+                lease=grant.lease, clear=grant.clear,
             )
         return msgspec.json.encode(told)
 
@@ -460,7 +460,7 @@
                 at = float("-inf")
             else:
                 said, at = last.said, last.at
-                up = now - at < self.grants.lease and said.ready_for > 0.0 and not said.closed
+                up = now - at < self.grants.lease and said.ready_for > 0.0 and bool(slot.values)
                 fact = Fact(
                     router, last.run, said.zone, up, self._region(said.zone), said.build,
                     frozenset(said.labels), said.ready_for + now - at, said.leaving, said.closed,
