--- a/gaugehinge/cli/keep_command.py
+++ b/gaugehinge/cli/keep_command.py
@@ -26,7 +26,7 @@
         raise BadInput(str(bad)) from None
     parts = []
     if told.drains.on:
-        from ..drains.build import keeping
+        from ..drains.keeper import keeping
 
         parts.append(keeping(told))
     try:
--- a/gaugehinge/drains/build.py
+++ b/gaugehinge/drains/build.py
@@ -1,4 +1,4 @@
-"""The installation file's `drains` to a part of a router that follows, and the keeper's file to its part."""
+"""The installation file's `drains` to a part of a router that follows. The keeper's is made in keeper.py."""
 
 from __future__ import annotations
 
@@ -6,13 +6,10 @@
 
 import trio
 
-from ..admin.keep import KeepFile
-from ..admin.service import Administration
 from ..hosted.follower import Follower
 from ..installation.form import Installation
 from ..net.service import Service
 from .files import NodeFile, Taken
-from .keeper import KeeperDrains
 from .router import RouterDrains
 
 
@@ -30,12 +27,4 @@
     return extend
 
 
-def keeping(told: KeepFile) -> Callable[[Administration], KeeperDrains]:
-    """What makes the keeper's part."""
-    regions = {
-        zone: name for name, zones in getattr(told.placement, "regions", {}).items() for zone in zones
-    }
-    return lambda administration: KeeperDrains(administration, told.drains, regions=regions)
-
-
-__all__ = ["Taken", "draining", "keeping"]
+__all__ = ["Taken", "draining"]
--- a/gaugehinge/drains/grants.py
+++ b/gaugehinge/drains/grants.py
@@ -26,6 +26,7 @@
 HEADROOM = 1.25  # of the measured need that a grant is to cover
 CALM = 10.0  # seconds between two rearrangements that nobody is in need of
 STEP = 0.25  # of a value: a smaller change is not worth a number
+NEED, OVER = 1.0, 2.0  # how pressing a rearrangement is
 
 Figures = dict[str, int]  # connections by store: `origin`, `servers`, or a server's name in the list
 
@@ -386,9 +387,9 @@
         if not live:
             return
         goals: dict[str, Figures] = {node: {} for node in live}
-        pressed = False
+        press = 0.0
         for store, most in limits.items():
-            pressed |= self._goals(goals, table, live, store, most, leaving, worst.get(store, 0.0))
+            press = max(press, self._goals(goals, table, live, store, most, leaving, worst.get(store, 0.0)))
         calm = now - self.arranged < CALM
         moved = False
         for node in live:
@@ -397,14 +398,14 @@
                 continue  # one change at a time: the next is made once this one is known to be followed
             values = {
                 store: min(goal, figure(slot.values, store))
-                if self._worth_lowering(figure(slot.values, store), goal, pressed, calm)
+                if self._worth_lowering(figure(slot.values, store), goal, press, calm)
                 else figure(slot.values, store)
                 for store, goal in goals[node].items()
             }
             if any(values[store] < figure(slot.values, store) for store in values):
                 table[node] = self._renumber(slot, values, _most(slot.ceilings, values))
                 moved = True
-        moved |= self._raise(table, goals, live, limits, leaving)
+        moved |= self._raise(table, goals, live, limits, leaving, calm)
         if moved and not calm:
             self.arranged = now
 
@@ -417,14 +418,16 @@
         return not slot.values or (word.number, word.mark) == (slot.number, slot.mark)
 
     @staticmethod
-    def _worth_lowering(value: int, goal: int, pressed: bool, calm: bool) -> bool:
-        return goal < value and (pressed or (not calm and value - goal >= max(2, ceil(STEP * value))))
+    def _worth_lowering(value: int, goal: int, press: float, calm: bool) -> bool:
+        least = max(1 if press else 2, ceil(STEP * value))
+        return goal < value and (press == OVER or ((press > 0.0 or not calm) and value - goal >= least))
 
     def _goals(
         self, goals: dict[str, Figures], table: dict[str, Slot], live: list[str], store: str, most: int,
         leaving: frozenset[str], worst: float,
-    ) -> bool:
-        """What each that is heard is to have of one store. Whether somebody waits for what others have."""
+    ) -> float:
+        """What each that is heard is to have of one store. Returns how pressing it is: NEED where somebody
+        waits for what others have, OVER where all have more than there is."""
         words = self.words
         away = sum(self.charge(slot, store) for node, slot in table.items() if node not in goals)
         remains = sum(figure(table[node].remains, store) for node in live)
@@ -453,13 +456,13 @@
                 goals[node][store] = floors[node] + (max(above, 0) * over // asked if asked else 0)
         values = {node: figure(table[node].values, store) for node in live}
         starved = any(needs[node] > values[node] and goals[node][store] > values[node] for node in live)
-        return sum(values.values()) > max(room, sum(floors.values())) or (
-            starved and sum(values.values()) >= room
-        )
+        if sum(values.values()) > max(room, sum(floors.values())):
+            return OVER
+        return NEED if starved and sum(values.values()) >= room else 0.0
 
     def _raise(
         self, table: dict[str, Slot], goals: dict[str, Figures], live: list[str], limits: Mapping[str, int],
-        leaving: frozenset[str],
+        leaving: frozenset[str], calm: bool,
     ) -> bool:
         free = {store: most - self.spent(table.values(), store) for store, most in limits.items()}
         moved = False
@@ -477,8 +480,8 @@
                 # The reserve is for those that return: up to their floor they may have it.
                 top = self._room(slot, store, free[store], ceil(self.reserve * limits[store]))
                 top = max(top, min(floor, self._room(slot, store, free[store], 0)))
-                starved = figure(self.words[node].need, store) >= value
-                worth = goal - value >= (1 if starved else max(1, ceil(STEP * value)))
+                starved = figure(self.words[node].need, store) > value or value < floor
+                worth = goal > value if starved else not calm and goal - value >= max(1, ceil(STEP * value))
                 values[store] = max(value, min(goal, top)) if worth else value
             if values == {store: figure(slot.values, store) for store in values} and slot.values:
                 continue
--- a/gaugehinge/drains/keeper.py
+++ b/gaugehinge/drains/keeper.py
@@ -18,7 +18,7 @@
 import trio
 from loguru import logger
 
-from ..admin.keep import KeepDrains
+from ..admin.keep import KeepDrains, KeepFile
 from ..admin.service import SERVER, TENANT, Administration, Wrong
 from ..store.keeper import Overloaded
 from ..store.store import Conflict, Full, Store, Wanted, encode
@@ -517,3 +517,10 @@
     def routes(self) -> list[tuple[str, str, str, Any, Any, Any]]:
         """`admin.service.Part`."""
         return DrainsApi(self).routes()
+
+
+def keeping(told: KeepFile) -> Callable[[Administration], KeeperDrains]:
+    """What makes the keeper's part, by its file."""
+    named = getattr(told.placement, "regions", {})
+    regions = {zone: name for name, zones in named.items() for zone in zones}
+    return lambda administration: KeeperDrains(administration, told.drains, regions=regions)
--- a/gaugehinge/drains/router.py
+++ b/gaugehinge/drains/router.py
@@ -197,6 +197,8 @@
             now + WAIT_PART * max(travel.due - now, 0.0), self._waited_out, store, travel
         )
         store.waiting.append(travel)
+        if place.idle:  # one that has not had its rest
+            pool.deadlines.at(now + 1.1 * REST_TIME, self._serve, place)
         store.peak = max(store.peak, store.open - len(place.idle) + len(store.waiting))
         return True
 
