--- a/gaugehinge/drains/forms.py
+++ b/gaugehinge/drains/forms.py
@@ -27,8 +27,8 @@
     started: float
 
 
-class Said(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A router's part of its report."""
+class Said(msgspec.Struct, frozen=True):
+    """A router's part of its report. Of another build it may have fields more: a fleet is rolled by it."""
 
     node: Annotated[str, Meta(pattern="^[A-Za-z0-9._-]{1,100}@[0-9a-f]{8,32}$")]
     run_number: Annotated[int, Meta(ge=1, le=1 << 53)]
