--- a/gaugehinge/cli/keep_command.py
+++ b/gaugehinge/cli/keep_command.py
@@ -1,5 +1,7 @@
 """`gaugehinge keep FILE`."""
 
+from functools import partial
+
 import click
 
 from .main import BadInput
@@ -24,10 +26,14 @@
         raise BadInput(str(bad)) from None
     parts = []
     if told.placement.on:
-        from ..placement.build import keeping
+        from ..placement.build import keeping as placing
+
+        parts.append(placing(told))
+    if told.drains.on:
+        from ..drains.keeper import keeping
 
         parts.append(keeping(told))
     try:
-        trio.run(keep, told, None, parts)
+        trio.run(partial(keep, told, parts=parts))
     except Damaged as bad:
         raise BadInput(str(bad)) from None
