--- a/gaugehinge/cli/serve_command.py
+++ b/gaugehinge/cli/serve_command.py
@@ -59,8 +59,19 @@
             raise BadInput(f"{file}: follow.secret_file: {bad}") from None
         more["kind"] = HostedClients
 
+    followers: list[Any] = []  # made by `following`, when the service is
+    if told.recovery.on:
+        from ..recovery.build import BadKey, recovering
+
+        try:
+            extensions.append(recovering(told, lambda: followers[0] if followers else None))
+        except BadKey as bad:
+            raise BadInput(f"{file}: recovery.key_file: {bad}") from None
+
     def extend(service: Any, nursery: Any) -> None:
         for each in extensions:
-            each(service, nursery)
+            made = each(service, nursery)
+            if hasattr(made, "roster"):
+                followers.append(made)
 
     sys.exit(run(berth_of(told), reread, new_door, early, extend if extensions else None, **more))
--- a/gaugehinge/hosted/follower.py
+++ b/gaugehinge/hosted/follower.py
@@ -108,6 +108,8 @@
         self._dirty = trio.Event()
         self.run_number = 0  # told with each report; `recovery` counts it on the router's files
         self.parts: list[Part] = []  # as switched on by the installation file; fixed before `run`
+        self.first_wait = 0.0  # seconds before the first call
+        self.weigh: Callable[[Feed], Feed] | None = None  # what of a feed is followed; may raise BadFeed
         self.wait = WAIT  # seconds that a call may stand open; less where leases are short
 
     # -- the start
@@ -136,10 +138,13 @@
         async with trio.open_nursery() as nursery:
             if self.snapshot is not None:
                 nursery.start_soon(self._save)
+            await trio.sleep(self.first_wait)
             while True:
                 try:
                     asked_at = trio.current_time()
                     feed = await self._call()
+                    if self.weigh is not None:
+                        feed = self.weigh(feed)
                     before = self.roster.revision
                     self._carry_out(self.roster.hear(feed))
                     for part in self.parts:
--- a/gaugehinge/installation/form.py
+++ b/gaugehinge/installation/form.py
@@ -268,6 +268,44 @@
     """Recovery of the whole fleet from a power loss (docs/recovery.md)."""
 
     on: Annotated[bool, Meta(description="off: a router starts as if it were alone")] = False
+    key_file: Annotated[
+        str, Meta(description="file with the key of the tier's messages, one for all routers, 16 bytes up")
+    ] = ""
+    snapshot: Annotated[
+        str, Meta(description="file for what is kept over an end; made by the router, one for each")
+    ] = ""
+    every: Annotated[Seconds, Meta(description="between two writings of it")] = default(Seconds(1.0))
+    decide: Annotated[
+        Seconds, Meta(description="by then it is decided whether this is a lone restart or a loss of all")
+    ] = default(Seconds(3.0))
+    keeper_wait: Annotated[
+        Seconds, Meta(description="longest wait of clients for the keeper, from the start")
+    ] = default(Seconds(6.0))
+    list_wait: Annotated[
+        Seconds, Meta(description="the same for discovery; then the list kept from before serves reads")
+    ] = default(Seconds(6.0))
+    doubt: Annotated[
+        Seconds,
+        Meta(description="a keeper or a list from before what was heard is followed after so long only"),
+    ] = default(Seconds(30.0))
+    repeats: Annotated[
+        Seconds, Meta(description="after a loss repeats of unrepeatable operations may come for so long")
+    ] = default(Seconds(5.0))
+    origin: Annotated[
+        Rate, Meta(description="operations a second that the origin bears from all routers; 0: learnt")
+    ] = default(Rate(0))
+    cold_reads: Annotated[
+        Rate, Meta(description="reads a second that one cold server bears from all routers; 0: learnt")
+    ] = default(Rate(0))
+
+    def __post_init__(self) -> None:
+        if not self.on:
+            return
+        for name in ("key_file", "snapshot"):
+            if not getattr(self, name):
+                raise BadField(name, "missing")
+        for name in ("every", "decide"):
+            above(name, getattr(self, name))
 
 
 class PlacementEntry(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -311,6 +349,8 @@
         for name in ("placement", "drains"):
             if getattr(self, name).on and not self.follow.keeper:
                 raise BadField(f"{name}.on", "wants a keeper to follow (follow.keeper)")
+        if self.recovery.on and self.tier.routers > 1 and not self.tier.listen:
+            raise BadField("recovery.on", "wants messages between the routers (tier.listen)")
         unique("traffic", [entry.name for entry in self.traffic])
         unique("tenants", [entry.name for entry in self.tenants])
         if self.tier.listen and len(self.tier.peers) != self.tier.routers:
--- a/gaugehinge/net/phase.py
+++ b/gaugehinge/net/phase.py
@@ -11,6 +11,7 @@
     """Where a router is on its course."""
 
     STARTING = auto()  # no list yet: connections are taken, PING is not answered with PONG
+    RECOVERING = auto()  # of gaugehinge.recovery: clients are answered, and told when to come back
     READY = auto()
     LEAVING = auto()  # told to end: served on, since clients have what is open for as long as it is
     CLOSING = auto()  # what comes is still taken, what is idle is closed
--- a/gaugehinge/net/service.py
+++ b/gaugehinge/net/service.py
@@ -83,18 +83,18 @@
                 self.dispatch.bind(pool, discovery.follow, peers.tell if peers else lambda *told: None)
                 if known is not None:
                     self.dispatch.hear_list(known, held=True)
-                self.dispatch.begin()
                 door = self.new_door(berth.charter, self.dispatch, berth.memory) if self.new_door else None
                 self.clients = self.kind(
                     berth.charter, self.course, self.dispatch, int(berth.sockets * CLIENT_PART), berth.memory,
                     nursery, door,
                 )
                 nursery.start_soon(self.deadlines.run)
-                if peers is not None:
-                    nursery.start_soon(peers.hear, self.dispatch.hear_peer)
                 self.fronts.append((self.clients, self.listening))
                 if self.extend is not None:
-                    self.extend(self, nursery)
+                    self.extend(self, nursery)  # what it puts before the dispatch acts from the first call on
+                self.dispatch.begin()
+                if peers is not None:
+                    nursery.start_soon(peers.hear, self.dispatch.hear_peer)
                 self._divide(berth)
                 accepting = trio.CancelScope()
                 nursery.start_soon(self._accept, accepting)
--- /dev/null
+++ b/gaugehinge/recovery/driver.py
@@ -0,0 +1,589 @@
+"""Carries out what the modules of this package decide, in one router: its snapshot, the messages to peers,
+what stands before the list, the keeper's answers and the dispatch while service returns.
+
+Nothing of it stands in an operation's way once all is open: the dispatch has its own `submit` back then.
+"""
+
+from __future__ import annotations
+
+import secrets
+import time
+import zlib
+from collections.abc import Callable
+from math import exp, inf
+
+import msgspec
+import trio
+from loguru import logger
+from xxhash import xxh64_intdigest
+
+from ..hosted.follower import Follower
+from ..hosted.roster import BadFeed
+from ..installation.form import RecoveryEntry
+from ..net.berth import address
+from ..net.bulletin import PRESENCES, Bulletin, Target
+from ..net.dispatch import FAILED, busy
+from ..net.phase import Phase
+from ..net.pool import Cargo
+from ..net.service import Service
+from ..tenancy.feed import Feed
+from ..terms import Effect, Listing, Operation, Presence
+from . import asking, evidence, trust
+from .datagram import Wire, digest
+from .effects import Effects
+from .evidence import Verdict
+from .opening import Bearing, Facts, Opening, Order, Stage, Waits
+from .snapshot import Entry, Kept, Learnt, SnapshotFile, boot_of, identity_of
+
+LOOK = 0.05  # seconds between two looks at what has come
+LEARN_TIME = 10.0  # seconds over which steady service is smoothed
+MOST_RUN = (1 << 32) - 1
+STATES = {presence: state for state, presence in PRESENCES.items()}
+
+
+class Recovery:
+    """One router's recovery. A `Part` of the follower, too, where a keeper is followed."""
+
+    name = "recovery"
+
+    def __init__(
+        self, service: Service, entry: RecoveryEntry, key: bytes, follower: Follower | None = None,
+        wall: Callable[[], float] = time.time, steady: Callable[[], float] = time.monotonic,
+        boot: Callable[[], str] = boot_of,
+    ) -> None:
+        """`key`: of the tier's messages; the clocks and the machine's boot may be played by a test."""
+        deployment = service.berth.charter.deployment
+        self.service, self.entry, self.follower = service, entry, follower
+        self.dispatch, self.clock = service.dispatch, service.clock
+        self.wall, self.steady, self.boot = wall, steady, boot
+        self.me, self.routers = deployment.me, deployment.routers
+        self.deployment = deployment
+        self.wire = Wire(key)
+        self.file = SnapshotFile(entry.snapshot, identity_of(key, service.berth.name, self.me))
+        self.began = self.clock()
+        self.kept: Kept | None = None
+        self.age = trust.Age(inf, False)
+        self.mind: evidence.Mind
+        self.slack = evidence.slack_of(self.routers, asking.told_each(self.routers))
+        self.said: dict[int, trust.Said] = {}  # by peer, the last of each
+        self.walls: dict[int, float] = {}  # by peer, how far its wall clock is from ours
+        self.heard: dict[int, float] = {}  # by peer, when
+        self.lived_lost: dict[int, float] = {}  # by peer that lived on, when it saw marks lost last
+        self.effects = Effects(deployment, float(entry.repeats), self.began)
+        self.opening = Opening(deployment, secrets.randbits(32))
+        self.order = Order(
+            Waits(
+                float(entry.keeper_wait) if follower is not None else 0.0, float(entry.list_wait),
+                float(entry.keeper_wait) if follower is not None else 0.0, float(entry.decide),
+            )
+        )
+        self.facts = Facts(keeper=follower is None, parts=follower is None)
+        self.store = trust.KnownStore("", 0, {})
+        self.older_until = 0.0  # a keeper from before what was heard is not followed until then; 0: none is
+        self.keeper_run = ""
+        self.servers: dict[str, Target] = {}  # as discovery told them, follows the list
+        self.list_rev = -1
+        self.list_sum = 0
+        self.known_rev, self.known_starts = -1, {}  # of the list that was followed last, kept ones too
+        self.held_back: list[Bulletin] = []  # until it is decided; emptied then
+        self.old_list_until = 0.0  # by an old list only what harms nobody is sent; 0: it is none
+        self.starts: dict[str, tuple[float, float]] = {}  # as told and as believed, follows the list
+        self.learnt = Learnt()
+        self.saved_at = self.learnt_at = self.began
+        self.turn = 0
+        self.elsewhere = 0
+        self.dirty = trio.Event()
+        self.parting = False  # whether operations pass by `_submit`
+        self.hear_list_below: Callable[..., None] = self.dispatch.hear_list
+        self.hear_peer_below = self.dispatch.hear_peer
+        self.submit_below = self.dispatch.submit
+        self.follow_below: Callable[[], None] = self.dispatch.follow
+
+    # -- the start
+
+    def begin(self, nursery: trio.Nursery) -> None:
+        """Read what was kept, count the run before anybody is told of it, and stand before the dispatch."""
+        self.kept, why = self.file.load()
+        kept = self.kept
+        if kept is None:
+            logger.warning("recovery: no snapshot: {}", why)
+        else:
+            self.age = trust.age(kept, self.wall(), self.steady(), self.boot())
+            self._take(kept)
+        run = min((kept.run if kept else 0) + 1, MOST_RUN)
+        known = tuple(kept.runs[: self.routers]) if kept else ()
+        lately = tuple(kept.lately[: self.routers]) if kept and trust.belief("lately", self.age) else ()
+        self.mind = evidence.begin(
+            self.me, digest(self.deployment.zone), run, secrets.randbits(63) | 1,
+            (*known, *[0] * (self.routers - len(known))), (*lately, *[-1] * (self.routers - len(lately))),
+            float(self.entry.decide), kept.epoch if kept else 0,
+        )
+        try:
+            self.file.save(self._snapshot())
+        except (OSError, ValueError) as bad:
+            logger.warning("recovery: run {} could not be counted on the disk: {}", run, bad)
+        sure = "" if self.age.sure else "by wall clocks "
+        old = "none" if kept is None else f"{sure}{self.age.seconds:.1f} s old"
+        logger.info("recovery: run {}, epoch {}, snapshot {}", run, self.mind.epoch, old)
+        self._stand_before()
+        self.service.course.enter(Phase.RECOVERING, 0)
+        for task in (self._look_on, self._tell_on, self._save_on):
+            nursery.start_soon(task)
+
+    def _take(self, kept: Kept) -> None:
+        """What of the snapshot is believed at once."""
+        self.store = trust.KnownStore(kept.store, kept.revision, dict(kept.incarnations), kept.floor)
+        part = trust.belief("learnt", self.age)
+        self.known_rev = kept.list_rev
+        self.known_starts = {each.uid: each.started for each in kept.servers}
+        self.learnt = Learnt(kept.learnt.reads * part, kept.learnt.writes * part, kept.learnt.origin * part)
+
+    def _stand_before(self) -> None:
+        places = asking.places(self.me, self.routers)
+        dispatch = self.dispatch
+        self.asks_at = self.began + places.discovery
+        self.tells_from = places.messages
+        dispatch.hear_list, dispatch.hear_peer = self._hear_list, self._hear_peer
+        dispatch.follow = self._follow
+        self._part(True)
+        if self.follower is not None:
+            self.follower.first_wait = places.keeper
+            self.follower.weigh = self._weigh
+            self.follower.run_number = self.mind.run
+            self.follower.parts.append(self)
+
+    def _part(self, wanted: bool) -> None:
+        """Whether operations pass by here."""
+        if wanted and not self.parting:
+            self.dispatch.submit = self._submit
+        elif self.parting and not wanted:
+            del self.dispatch.submit  # the class's own is found again
+        self.parting = wanted
+
+    def _follow(self) -> None:
+        """The module wants the list: not before this router's place among all that have just started."""
+        now = self.clock()
+        if now >= self.asks_at:
+            self.follow_below()
+        else:
+            self.service.deadlines.at(self.asks_at, self.follow_below)
+
+    def uptime(self) -> float:
+        """Seconds since the start."""
+        return self.clock() - self.began
+
+    # -- what stands before the dispatch
+
+    def _submit(self, operation: Operation, cargo: Cargo, answer: Callable[[bytes], None]) -> int:
+        """As `Dispatch.submit`; what is not let in is answered here, and has no handle."""
+        now = self.clock()
+        traffic = operation.traffic
+        row, write = traffic.row, operation.write
+        if now < self.effects.until[row]:
+            final = self.effects.final(row, write, operation.repeat, mark_of(cargo.told), now)
+            if final and self.mind.verdict is not Verdict.DECIDING:
+                return self._end(operation, answer, FAILED)
+        if self.opening.open and not self.old_list_until:
+            return self.submit_below(operation, cargo, answer)
+        away = self._away(row, operation.tenant, write, now)
+        if away:
+            return self._end(operation, answer, busy(away if self.deployment.longest_come_back else 0.0))
+
+        def ended(reply: bytes) -> None:
+            at_origin = any(leg.server.origin for leg in operation.legs)
+            self.opening.ended(row, write, not reply.startswith(b"-"), at_origin)
+            answer(reply)
+
+        return self.submit_below(operation, cargo, ended)
+
+    def _away(self, row: int, tenant: int, write: bool, now: float) -> float:
+        """Seconds to stay away; 0: let in."""
+        harmless = not write and self.deployment.traffic_types[row].effect is Effect.IDEMPOTENT
+        if self.old_list_until and not harmless:
+            return self.opening.away(1.0)
+        if self.order.stage is not Stage.CLIENTS:
+            return self.opening.away(min(self.order.left(now - self.began), 1.0))
+        return self.opening.admit(row, tenant, write, now)
+
+    @staticmethod
+    def _end(operation: Operation, answer: Callable[[bytes], None], reply: bytes) -> int:
+        operation.over = True
+        answer(reply)
+        return -1
+
+    # -- the list
+
+    def _hear_list(self, bulletin: Bulletin, held: bool = False) -> None:
+        """Discovery's list or changes of it."""
+        if bulletin.whole:
+            self._weigh_list(bulletin)
+            self.servers.clear()
+        for target in bulletin.targets:
+            if target.listing.presence is Presence.GONE:
+                self.servers.pop(target.uid, None)
+            else:
+                self.servers[target.uid] = target
+        self.list_rev = bulletin.rev
+        told = sorted((uid, target.listing.started) for uid, target in self.servers.items())
+        self.list_sum = zlib.crc32(repr(told).encode())
+        listings = [target.listing for target in bulletin.targets]
+        self.effects.hear_list(listings, bulletin.whole, self.clock())
+        if self.effects.open(self.clock()):
+            self._part(True)
+        self.facts.list = self.facts.list or not held
+        if self.mind.verdict is Verdict.DECIDING:
+            # When servers started is believed by what is still to be decided; no client is let in before.
+            self.held_back = [bulletin] if bulletin.whole else [*self.held_back, bulletin]
+        else:
+            self._pass_on(bulletin, held)
+        self.dirty.set()
+
+    def _weigh_list(self, bulletin: Bulletin) -> None:
+        """Whether a whole list is one from before."""
+        told = {target.uid: target.listing.started for target in bulletin.targets}
+        standing = trust.list_answer(self.known_rev, self.known_starts, bulletin.rev, told)
+        if standing is trust.Standing.OLDER:
+            if self.old_list_until in (0.0, inf):
+                self.old_list_until = self.clock() + float(self.entry.doubt)
+                logger.warning(
+                    "recovery: list {} is older than {} that was known: reads only, for {:.0f} s at most",
+                    bulletin.rev, self.known_rev, float(self.entry.doubt),
+                )
+                self._part(True)
+            return
+        if self.old_list_until:
+            logger.info("recovery: list {} is followed", bulletin.rev)
+        self.old_list_until = 0.0
+        self.known_rev, self.known_starts = bulletin.rev, told
+
+    def _pass_on(self, bulletin: Bulletin, held: bool) -> None:
+        known = {each.uid: each.started for each in self.kept.servers} if self.kept else {}
+        spread = asking.window(self.routers, asking.DISCOVERY_EACH)
+        in_service = self.uptime() > self.order.waits.list + spread
+        off = trust.clock_off(0.0, list(self.walls.values()))
+        targets = []
+        for target in bulletin.targets:
+            told = target.listing.started
+            seen = self.starts.get(target.uid)
+            if target.listing.presence is Presence.GONE:
+                self.starts.pop(target.uid, None)
+            elif seen is None or seen[0] != told:
+                lived = self.mind.verdict.lived or in_service
+                believed = trust.believed_start(told, known.get(target.uid), self.began, lived, off)
+                seen = self.starts[target.uid] = (told, believed)
+            if seen is not None:
+                target = target._replace(listing=target.listing._replace(started=seen[1]))
+            targets.append(target)
+        self.hear_list_below(Bulletin(bulletin.rev, bulletin.whole, tuple(targets)), held)
+
+    def _use_kept_list(self) -> None:
+        """Discovery is not waited for any longer: what was kept serves reads, and every server is cold."""
+        if self.kept is None or not self.kept.servers:
+            return
+        targets = []
+        for each in self.kept.servers:
+            where = address(each.endpoint, "snapshot")
+            ident = xxh64_intdigest(each.uid.encode())  # as net.bulletin makes it
+            listing = Listing(
+                ident, each.zone, each.kind, each.cell, PRESENCES.get(each.state, Presence.DRAINING),
+                self.began, each.weight,
+            )
+            targets.append(Target(listing, each.uid, where))
+        logger.warning("recovery: no list: {} servers as kept, for reads only", len(targets))
+        self.old_list_until = inf
+        self.hear_list_below(Bulletin(self.kept.list_rev, True, tuple(targets)), True)
+
+    # -- peers
+
+    def _hear_peer(self, number: int, payload: bytes) -> None:
+        if not self.wire.mine(payload):
+            self.hear_peer_below(number, payload)
+            return
+        told = self.wire.read(payload)
+        if told is None or not 0 <= told.me < self.routers:
+            return
+        uptime, before = self.uptime(), self.mind
+        self.mind, echo = evidence.hear(before, told, uptime)
+        if echo is not None:
+            self._tell(told.me, echo)
+        if told.echo != self.mind.mark or told.mark != self.mind.peers[told.me].mark:
+            return
+        self.heard[told.me] = uptime
+        self.walls[told.me] = told.wall - self.wall()
+        self.said[told.me] = trust.Said(
+            told.epoch, told.run, told.ready, Verdict(told.verdict), told.list_rev, told.list_sum,
+            told.store, told.revision, told.lost_ago,
+        )
+        if told.lived and told.lost_ago >= 0.0:
+            self.lived_lost[told.me] = uptime - told.lost_ago
+        self._changed(before)
+
+    def _changed(self, before: evidence.Mind) -> None:
+        """What a change of mind brings."""
+        mind = self.mind
+        if mind.run != before.run:
+            logger.warning("recovery: peers know run {} of this router: now {}", mind.run - 1, mind.run)
+            self.dirty.set()
+            if self.follower is not None:
+                self.follower.run_number = mind.run
+        if mind.verdict is not before.verdict:
+            self._decided()
+        if mind.epoch != before.epoch:
+            self.dirty.set()
+
+    def _decided(self) -> None:
+        mind, now = self.mind, self.clock()
+        anew = sum(evidence.anew(mind, number) for number in range(self.routers))
+        lived = sum(peer.lived for peer in mind.peers)
+        logger.info(
+            "recovery: {} after {:.1f} s: of {} peers {} lived on, {} began anew; epoch {}",
+            mind.verdict.name.lower(), self.uptime(), self.routers - 1, lived, anew, mind.epoch,
+        )
+        uptime = self.uptime()
+        self.effects.decided(mind.verdict, [uptime - at for at in self.lived_lost.values()], now)
+        waiting, self.held_back = self.held_back, []
+        for bulletin in waiting:
+            self._pass_on(bulletin, False)
+        if mind.verdict is Verdict.LONE and self.order.stage is Stage.CLIENTS:
+            self.opening.open = True
+        self.dirty.set()
+
+    async def _tell_on(self) -> None:
+        """Messages to peers, round by round."""
+        if self.routers == 1 or self.service.peers is None:
+            return
+        await trio.sleep(self.tells_from)
+        while True:
+            enough = trust.enough([said for said in self.said.values()], self.routers)
+            settled = self.mind.verdict not in (Verdict.DECIDING, Verdict.APART)
+            late = self.uptime() > evidence.LATE * self.mind.bound
+            for number in asking.round_of(self.me, self.routers, self.turn, (enough and settled) or late):
+                self._tell(number)
+            self.turn += 1
+            await trio.sleep(asking.ROUND)
+
+    def _tell(self, number: int, echo: tuple[int, float] | None = None) -> None:
+        now, effects = self.clock(), self.effects
+        settled = self.mind.verdict is not Verdict.DECIDING
+        told = evidence.say(
+            self.mind, number, now - self.began, echo,
+            ready=self.service.course.phase is Phase.READY,
+            wall=self.wall(),
+            list_rev=max(self.list_rev, 0),
+            list_sum=self.list_sum,
+            keeper=digest(self.keeper_run) if self.keeper_run else 0,
+            store=digest(self.store.name) if self.store.name else 0,
+            revision=self.store.revision,
+            lost_ago=now - effects.lost_at if settled and effects.open(now) else -1.0,
+        )
+        self.service.peers.tell((number,), self.wire.write(told))
+
+    # -- the keeper: a part of the follower's feed
+
+    def report(self) -> bytes | None:
+        """Nothing goes with calls but the run's number, which the follower tells itself."""
+        return None
+
+    def hear(self, feed: Feed, asked_at: float) -> None:
+        """A feed was followed."""
+        before, same = self.mind, bool(self.kept and self.kept.keeper_run) and (
+            feed.keeper_run == self.kept.keeper_run
+        )
+        self.mind = evidence.hear_keeper(before, same, self.uptime())
+        self.keeper_run = feed.keeper_run
+        # Parts hear the same feed: what they want of it they have then, or a later one brings it.
+        self.facts.keeper = self.facts.parts = True
+        self._changed(before)
+
+    def away(self) -> None:
+        """The keeper does not answer: the bound of its stage goes on."""
+
+    def _weigh(self, feed: Feed) -> Feed:
+        """What of a feed is followed. Raises BadFeed while it is from before what was heard."""
+        now, known = self.clock(), self._known_store()
+        standing = trust.keeper_answer(known, feed.store, feed.revision, feed.whole)
+        if standing is not trust.Standing.FOLLOWED:
+            what = f"store {feed.store} revision {feed.revision}, heard was {known.name} {known.revision}"
+            if not self.older_until:
+                self.older_until = now + float(self.entry.doubt)
+                logger.error("recovery: keeper is {}: {}", standing.value, what)
+            if now < self.older_until:
+                raise BadFeed(f"keeper is {standing.value}: {what}")
+            logger.error("recovery: keeper is followed though it is {}: {}", standing.value, what)
+        elif self.older_until:
+            logger.info("recovery: keeper is at revision {} again", feed.revision)
+        rows = [(row.incarnation, row.name) for row in feed.tenants]
+        refused = set(trust.strangers(known, rows))
+        if refused:
+            logger.error("recovery: numbers {} were other tenants': not served", sorted(refused))
+            feed = msgspec.structs.replace(
+                feed, tenants=[row for row in feed.tenants if row.incarnation not in refused]
+            )
+        self.older_until = 0.0
+        named = [row for row in rows if row[0] not in refused]
+        self.store = trust.remember(known._replace(name=feed.store, revision=feed.revision), named)
+        return feed
+
+    def _known_store(self) -> trust.KnownStore:
+        """What this router knows, and what the best of its peers does."""
+        best = trust.agree(list(self.said.values()))
+        if best is None or not self.store.name or best.store != digest(self.store.name):
+            return self.store
+        if self.facts.keeper:
+            return self.store  # in service each is told by the keeper itself: peers may be ahead of us
+        return self.store._replace(revision=max(self.store.revision, best.revision))
+
+    # -- looks
+
+    async def _look_on(self) -> None:
+        """Everything that time alone brings."""
+        if self.follower is not None and self.kept is not None:
+            for part in self.follower.parts:
+                restore = getattr(part, "restore", None)
+                if restore is not None and part.name in self.kept.parts:
+                    restore(self.kept.parts[part.name])
+        while True:
+            self._look()
+            await trio.sleep(LOOK)
+
+    def _look(self) -> None:
+        before, now = self.mind, self.clock()
+        uptime = now - self.began
+        self.mind = evidence.look(before, uptime)
+        self._changed(before)
+        self.facts.verdict = self.mind.verdict
+        stage = self.order.stage
+        if stage not in (Stage.CLIENTS, Stage.OPEN):
+            after = self.order.step(self.facts, uptime)
+            if after is Stage.CLIENTS:
+                self._let_in(now)
+        if self.old_list_until and now >= self.old_list_until:
+            self.old_list_until = 0.0
+            logger.warning("recovery: the list is followed though it may be old")
+        self.opening.share([tenant.share for tenant in self.dispatch.router.tenants])
+        self.opening.step(self._warmth(now), now)
+        if self.opening.open and self.order.stage is Stage.CLIENTS:
+            self.order.stage = Stage.OPEN
+        if self.order.stage is Stage.OPEN and not self.old_list_until and not self.effects.open(now):
+            self._part(False)
+        self._learn(now)
+        anew = evidence.elsewhere(self.mind, uptime, self.slack)
+        if anew > self.elsewhere:
+            told = f"{anew} of {self.routers - 1} peers began anew within {self.slack:.0f} s"
+            logger.info("recovery: a loss elsewhere: {}", told)
+        self.elsewhere = anew
+        self._flush_log()
+
+    def _let_in(self, now: float) -> None:
+        """Clients are let in from now on."""
+        if not self.facts.list:
+            self._use_kept_list()
+        for waiting in self.held_back:
+            self._pass_on(waiting, False)
+        self.held_back = []
+        router = self.dispatch.router
+        learnt, entry = self.learnt, self.entry
+        bearing = Bearing(
+            self.routers, len(router.caches), float(entry.origin), float(entry.cold_reads),
+            learnt.reads, learnt.writes,
+        )
+        if self.mind.verdict is Verdict.LONE:
+            self.opening.open = True
+        else:
+            self.opening.begin(bearing, [tenant.share for tenant in router.tenants], now)
+        logger.info(
+            "recovery: ready after {:.1f} s, {}: {} servers, {:.1f} reads and {:.1f} writes a second before",
+            now - self.began, "open" if self.opening.open else "in steps", len(router.caches), learnt.reads,
+            learnt.writes,
+        )
+        if self.service.course.phase is Phase.RECOVERING:
+            self.service.course.enter(Phase.READY, len(self.dispatch.exchanges))
+
+    def _warmth(self, now: float) -> float:
+        caches, cold_time = self.dispatch.router.caches, self.deployment.cold_time
+        if not caches or not cold_time:
+            return 1.0
+        ages = [max(now - cache.started, 0.0) if cache.started else inf for cache in caches.values()]
+        return sum(min(age / cold_time, 1.0) for age in ages) / len(ages)
+
+    def _learn(self, now: float) -> None:
+        """Steady service, by what the decisions measure anyhow."""
+        span = now - self.learnt_at
+        if span < 1.0 or self.order.stage is not Stage.OPEN:
+            return
+        self.learnt_at = now
+        router, keep = self.dispatch.router, exp(-span / LEARN_TIME)
+        reads, every = router.rate.read(now), sum(router.used)
+        writes = max(every - reads, 0.0)
+        old = self.learnt
+        self.learnt = Learnt(
+            keep * old.reads + (1.0 - keep) * reads, keep * old.writes + (1.0 - keep) * writes,
+            router.gate.limit,
+        )
+
+    def _flush_log(self) -> None:
+        for log in (self.order.log, self.opening.log, self.effects.log):
+            for text in log:
+                logger.info("recovery: {}", text)
+            log.clear()
+
+    # -- the snapshot
+
+    def _snapshot(self) -> Kept:
+        mind, store = self.mind, self.store
+        parts = {}
+        if self.follower is not None:
+            for part in self.follower.parts:
+                body = part.kept() if hasattr(part, "kept") else None
+                if body is not None:
+                    parts[part.name] = body
+        return Kept(
+            self.file.identity, mind.run, self.wall(), self.steady(), self.boot(),
+            epoch=mind.epoch,
+            runs=[max(peer.run, peer.known_run) for peer in mind.peers],
+            lately=list(evidence.heard_lately(mind, self.uptime(), self.slack)),
+            list_rev=self.list_rev if self.servers else self.kept.list_rev if self.kept else -1,
+            servers=self._entries(),
+            learnt=self.learnt,
+            keeper_run=self.keeper_run or (self.kept.keeper_run if self.kept else ""),
+            store=store.name, revision=store.revision, incarnations=dict(store.incarnations),
+            floor=store.floor, parts=parts,
+        )
+
+    def _entries(self) -> list[Entry]:
+        if not self.servers:
+            return self.kept.servers if self.kept else []
+        return [
+            Entry(
+                target.uid, f"{target.endpoint[0]}:{target.endpoint[1]}", target.listing.zone,
+                target.listing.kind, target.listing.cell, STATES[target.listing.presence],
+                target.listing.started, target.listing.weight,
+            )
+            for target in self.servers.values() if target.endpoint is not None
+        ]
+
+    async def _save_on(self) -> None:
+        """Write the snapshot now and then, and soon after something in it changed."""
+        failed = False
+        while True:
+            with trio.move_on_after(float(self.entry.every)):
+                await self.dirty.wait()
+            self.dirty = trio.Event()
+            try:
+                await trio.to_thread.run_sync(self.file.save, self._snapshot())
+                if failed:
+                    logger.info("recovery: snapshot written again")
+                failed = False
+            except (OSError, ValueError) as bad:
+                if not failed:
+                    logger.warning("recovery: snapshot not written: {}", bad)
+                failed = True
+            await trio.sleep(min(float(self.entry.every), 0.1))
+
+
+def mark_of(told: bytes) -> bytes:
+    """The mark in an operation's labels, empty where there is none."""
+    for part in told.split(b","):
+        if part.startswith(b"k="):
+            return part[2:]
+    return b""
--- /dev/null
+++ b/tests/test_recovery_model.py
@@ -0,0 +1,292 @@
+"""The state machine of gaugehinge.recovery.evidence, searched whole in a small world: three routers in two
+zones, a keeper, messages that are lost, late and told twice also over a loss, single ends and losses of all.
+What each router claims is held against what truly was. Mutants of the machine are found by the same search.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from functools import lru_cache
+from typing import NamedTuple
+
+import pytest
+
+from gaugehinge.recovery import evidence
+from gaugehinge.recovery.evidence import Mind, Told, Verdict
+
+N = 3
+ZONES = (1, 1, 2)
+BOUND = 2.0  # ticks
+SLACK = 2  # ticks: heard within one before the snapshot, which is written each tick
+
+
+class Disk(NamedTuple):
+    run: int = 0
+    known: tuple[int, ...] = (0,) * N
+    lately: tuple[int, ...] = (-1,) * N
+    epoch: int = 0
+    keeper: int = 0
+
+
+class Router(NamedTuple):
+    mind: Mind | None  # None: it is down
+    disk: Disk
+    started: int = 0  # tick of the present or last run's start
+    ended: int = -1  # of the former run; -1: there was none
+    witnesses: int = 0  # mask of peers that lived from that end to our present start
+
+
+class World(NamedTuple):
+    tick: int
+    routers: tuple[Router, ...]
+    late: tuple[Told | None, ...]  # by receiver and sender: the last word of a run that ended
+    keeper: int
+    ends: int  # so many ends may still come
+    marks: int  # drawn so far
+
+
+def put(row: tuple, place: int, value) -> tuple:
+    return row[:place] + (value,) + row[place + 1 :]
+
+
+def say(world: World, one: int, other: int, echo=None) -> Told:
+    router = world.routers[one]
+    return evidence.say(router.mind, other, float(world.tick - router.started), echo)
+
+
+def hear(world: World, told: Told) -> tuple[World, tuple[int, float] | None]:
+    router = world.routers[told.to]
+    mind, echo = evidence.hear(router.mind, told, float(world.tick - router.started))
+    return world._replace(routers=put(world.routers, told.to, router._replace(mind=mind))), echo
+
+
+def start(world: World, one: int) -> World:
+    router = world.routers[one]
+    disk = router.disk._replace(run=router.disk.run + 1)
+    mind = evidence.begin(
+        one, ZONES[one], disk.run, world.marks + 1, disk.known, disk.lately, BOUND, disk.epoch
+    )
+    new = router._replace(mind=mind, disk=disk._replace(lately=(-1,) * N), started=world.tick)
+    return world._replace(routers=put(world.routers, one, new), marks=world.marks + 1)
+
+
+def end(world: World, one: int) -> World:
+    """One ends. What it said last to each may still come to them, once or more, at any time."""
+    router = world.routers[one]
+    alive = sum(1 << n for n, each in enumerate(world.routers) if each.mind is not None and n != one)
+    late = tuple(
+        say(world, one, n // N) if n % N == one and n // N != one else told
+        for n, told in enumerate(world.late)
+    )
+    routers = [
+        each._replace(witnesses=each.witnesses & ~(1 << one)) if each.mind is None else each
+        for each in world.routers
+    ]
+    routers[one] = router._replace(mind=None, ended=world.tick, witnesses=alive)
+    return world._replace(routers=tuple(routers), late=late)
+
+
+@lru_cache(300_000)  # the same talk takes place in many worlds
+def talk(one: Router, other: Router, tick: int, back: bool) -> tuple[Router, Router]:
+    """One says its word to another, who answers at once where that is due."""
+    told = evidence.say(one.mind, other.mind.me, float(tick - one.started))
+    mind, echo = evidence.hear(other.mind, told, float(tick - other.started))
+    other = other._replace(mind=mind)
+    if echo is not None and back:
+        told = evidence.say(mind, one.mind.me, float(tick - other.started), echo)
+        one = one._replace(mind=evidence.hear(one.mind, told, float(tick - one.started))[0])
+    return one, other
+
+
+@lru_cache(300_000)
+def written(router: Router, tick: int, keeper: int) -> Router:
+    """The end of a tick: a look at the time, and the snapshot."""
+    uptime = float(tick - router.started)
+    mind = evidence.look(router.mind, uptime)
+    known = tuple(max(peer.run, peer.known_run) for peer in mind.peers)
+    lately = evidence.heard_lately(mind, uptime, 0.0)
+    return router._replace(mind=mind, disk=Disk(mind.run, known, lately, mind.epoch, keeper))
+
+
+def pass_time(world: World, links: frozenset[tuple[int, int]]) -> World:
+    """A tick: what passes by the links that are up, then snapshots."""
+    tick, routers = world.tick + 1, list(world.routers)
+    for one, other in sorted(links):
+        if routers[one].mind is not None and routers[other].mind is not None:
+            back = (other, one) in links
+            routers[one], routers[other] = talk(routers[one], routers[other], tick, back)
+    for n, router in enumerate(routers):
+        if router.mind is not None:
+            routers[n] = written(router, tick, world.keeper)
+    return world._replace(tick=tick, routers=tuple(routers))
+
+
+PAIRS = ((0, 1), (0, 2), (1, 2))
+CUTS = [
+    frozenset(way for n, pair in enumerate(PAIRS) if mask >> n & 1 for way in (pair, pair[::-1]))
+    for mask in range(8)
+]
+ALL_LINKS = CUTS[-1]
+CUTS += [ALL_LINKS - {way} for way in sorted(ALL_LINKS)]  # and each one's messages one way only
+
+
+def steps(world: World, ticks: int, keeper: bool):
+    """All that may happen next."""
+    if world.tick < ticks:
+        for links in CUTS:
+            yield pass_time(world, links)
+    for told in world.late:
+        if told is not None and world.routers[told.to].mind is not None:
+            yield hear(world, told)[0]
+    for one, router in enumerate(world.routers):
+        if router.mind is None:
+            yield start(world, one)
+        elif world.ends:
+            yield end(world._replace(ends=world.ends - 1), one)
+        if keeper and router.mind is not None and router.disk.keeper:
+            mind = evidence.hear_keeper(
+                router.mind, router.disk.keeper == world.keeper, float(world.tick - router.started)
+            )
+            yield world._replace(routers=put(world.routers, one, router._replace(mind=mind)))
+    if world.ends and sum(router.mind is not None for router in world.routers) > 1:
+        lost = world._replace(ends=world.ends - 1, keeper=world.keeper + keeper)
+        for one, router in enumerate(world.routers):
+            if router.mind is not None:
+                lost = end(lost, one)
+        yield lost
+
+
+def wrong(world: World, before: World) -> str:
+    """A claim that is new and not true; empty where there is none."""
+    for one, router in enumerate(world.routers):
+        mind = router.mind
+        if mind is None:
+            continue
+        if mind.verdict is Verdict.DECIDING and world.tick - router.started >= BOUND:
+            return f"{one} has not decided in time"
+        old = before.routers[one].mind
+        if router.ended < 0 or (old is not None and old.verdict is mind.verdict):
+            continue
+        lived = [
+            each.mind is not None and each.started < router.ended - SLACK for each in world.routers
+        ]
+        lived[one] = False
+        if mind.verdict.lived and not router.witnesses:
+            return f"{one} claims {mind.verdict.name}, and nobody lived through its end"
+        if mind.verdict is Verdict.ALL and any(lived):
+            return f"{one} claims ALL, and another lived on"
+        if mind.verdict is Verdict.MOST and 2 * sum(lived) >= N:
+            return f"{one} claims MOST, and most lived on"
+        if mind.verdict is Verdict.ZONE and any(
+            lived[n] for n in range(N) if n != one and ZONES[n] == ZONES[one]
+        ):
+            return f"{one} claims ZONE, and a mate lived on"
+    return ""
+
+
+def first_world(ends: int) -> World:
+    """All are up, and know of each other."""
+    world = World(0, (Router(None, Disk()),) * N, (None,) * (N * N), 1, ends, 0)
+    for one in range(N):
+        world = start(world, one)
+    return pass_time(pass_time(world, ALL_LINKS), ALL_LINKS)._replace(tick=2)
+
+
+def search(world: World, ticks: int, keeper: bool = False, most: int = 1_000_000) -> tuple[int, int, str]:
+    """States, transitions, and what was wrong first."""
+    seen, waiting, moves = {world}, deque([world]), 0
+    while waiting:
+        now = waiting.popleft()
+        for after in steps(now, ticks, keeper):
+            moves += 1
+            if after in seen:
+                continue
+            broken = wrong(after, now)
+            if broken:
+                return len(seen), moves, broken
+            seen.add(after)
+            if len(seen) >= most:
+                return len(seen), moves, ""
+            waiting.append(after)
+    return len(seen), moves, ""
+
+
+def after_a_cut(ends: int) -> World:
+    """Router 0 heard nobody for three ticks; meanwhile 1 and 2 began anew, and hear each other."""
+    world = end(end(first_world(ends), 1), 2)
+    world = start(start(world, 1), 2)
+    for _ in range(3):
+        world = pass_time(world, CUTS[4])
+    return world
+
+
+def test_every_state_within_bounds_claims_what_is_true():
+    talk.cache_clear(), written.cache_clear()
+    states, moves, broken = search(first_world(ends=1), ticks=4)
+    assert not broken
+    assert states > 100_000 and moves > 5 * states
+    for world in (after_a_cut(ends=1), first_world(ends=2)):
+        states, _, broken = search(world, ticks=world.tick + 2, keeper=True, most=20_000)
+        assert not broken and states > 5_000
+
+
+def no_echo(monkeypatch):
+    hear = evidence.hear
+    monkeypatch.setattr(
+        evidence, "hear", lambda mind, told, uptime: hear(mind, told._replace(echo=mind.mark), uptime)
+    )
+
+
+def old_runs_prove(monkeypatch):
+    begin = evidence.begin
+
+    def wrong_begin(me, zone, run, mark, known, before, *rest):
+        return begin(me, zone, run, mark, known, known, *rest)
+
+    monkeypatch.setattr(evidence, "begin", wrong_begin)
+
+
+def silence_proves(monkeypatch):
+    anew = evidence.anew
+    monkeypatch.setattr(evidence, "anew", lambda mind, n: not mind.peers[n].mark or anew(mind, n))
+
+
+def apart_is_most(monkeypatch):
+    judge = evidence._judge
+
+    def wrong_judge(mind, bound_over):
+        verdict = judge(mind, bound_over)
+        return Verdict.MOST if verdict is Verdict.APART else verdict
+
+    monkeypatch.setattr(evidence, "_judge", wrong_judge)
+
+
+def who_is_up_for_longer_lived_on(monkeypatch):
+    hear = evidence.hear
+
+    def wrong_hear(mind, told, uptime):
+        return hear(mind, told._replace(lived=told.lived or told.uptime > uptime), uptime)
+
+    monkeypatch.setattr(evidence, "hear", wrong_hear)
+
+
+def never_decides(monkeypatch):
+    monkeypatch.setattr(evidence, "look", lambda mind, uptime: mind)
+
+
+MUTANTS = [
+    no_echo, old_runs_prove, silence_proves, apart_is_most, who_is_up_for_longer_lived_on, never_decides
+]
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda each: each.__name__)
+def test_a_mutant_of_the_machine_is_found(mutant, monkeypatch):
+    mutant(monkeypatch)
+    talk.cache_clear(), written.cache_clear()
+    found = []
+    for world in (first_world(ends=1), after_a_cut(ends=1)):
+        found.append(search(world, world.tick + 2, most=30_000)[2])
+        if found[-1]:
+            break
+    talk.cache_clear(), written.cache_clear()
+    assert found[-1]
