--- a/gaugehinge/net/service.py
+++ b/gaugehinge/net/service.py
@@ -98,7 +98,8 @@
                 self._divide(berth)
                 accepting = trio.CancelScope()
                 nursery.start_soon(self._accept, accepting)
-                if known is not None and any(t.listing.presence is Presence.UP for t in known.targets):
+                up = known is not None and any(t.listing.presence is Presence.UP for t in known.targets)
+                if up and self.course.phase is Phase.STARTING:
                     self._enter(Phase.READY)
                 else:
                     self.deadlines.at(self.clock() + START_TIME, self._ready)
--- a/gaugehinge/recovery/driver.py
+++ b/gaugehinge/recovery/driver.py
@@ -36,7 +36,7 @@
 from .snapshot import Entry, Kept, Learnt, SnapshotFile, boot_of, identity_of
 
 LOOK = 0.05  # seconds between two looks at what has come
-LEARN_TIME = 10.0  # seconds over which steady service is smoothed
+RISE_TIME, FALL_TIME = 2.0, 60.0  # seconds over which steady service is smoothed: a pause is no less of it
 MOST_RUN = (1 << 32) - 1
 STATES = {presence: state for state, presence in PRESENCES.items()}
 
@@ -61,7 +61,7 @@
         self.wire = Wire(key)
         self.file = SnapshotFile(entry.snapshot, identity_of(key, service.berth.name, self.me))
         self.began = self.clock()
-        self.kept: Kept | None = None
+        self.former: Kept | None = None
         self.age = trust.Age(inf, False)
         self.mind: evidence.Mind
         self.slack = evidence.slack_of(self.routers, asking.told_each(self.routers))
@@ -81,6 +81,7 @@
         self.store = trust.KnownStore("", 0, {})
         self.older_until = 0.0  # a keeper from before what was heard is not followed until then; 0: none is
         self.keeper_run = ""
+        self.wait_later = 0.0  # of the follower's calls, once the first one was answered
         self.servers: dict[str, Target] = {}  # as discovery told them, follows the list
         self.list_rev = -1
         self.list_sum = 0
@@ -103,8 +104,8 @@
 
     def begin(self, nursery: trio.Nursery) -> None:
         """Read what was kept, count the run before anybody is told of it, and stand before the dispatch."""
-        self.kept, why = self.file.load()
-        kept = self.kept
+        self.former, why = self.file.load()
+        kept = self.former
         if kept is None:
             logger.warning("recovery: no snapshot: {}", why)
         else:
@@ -136,7 +137,7 @@
         part = trust.belief("learnt", self.age)
         self.known_rev = kept.list_rev
         self.known_starts = {each.uid: each.started for each in kept.servers}
-        self.learnt = Learnt(kept.learnt.reads * part, kept.learnt.writes * part, kept.learnt.origin * part)
+        self.learnt = Learnt(kept.learnt.reads * part, kept.learnt.writes * part)
 
     def _stand_before(self) -> None:
         places = asking.places(self.me, self.routers)
@@ -148,6 +149,8 @@
         self._part(True)
         if self.follower is not None:
             self.follower.first_wait = places.keeper
+            # The first call asks who is there: with nothing new it would stand open for seconds.
+            self.wait_later, self.follower.wait = self.follower.wait, 0.0
             self.follower.weigh = self._weigh
             self.follower.run_number = self.mind.run
             self.follower.parts.append(self)
@@ -201,7 +204,7 @@
         harmless = not write and self.deployment.traffic_types[row].effect is Effect.IDEMPOTENT
         if self.old_list_until and not harmless:
             return self.opening.away(1.0)
-        if self.order.stage is not Stage.CLIENTS:
+        if self.order.stage not in (Stage.CLIENTS, Stage.OPEN):
             return self.opening.away(min(self.order.left(now - self.began), 1.0))
         return self.opening.admit(row, tenant, write, now)
 
@@ -257,7 +260,7 @@
         self.known_rev, self.known_starts = bulletin.rev, told
 
     def _pass_on(self, bulletin: Bulletin, held: bool) -> None:
-        known = {each.uid: each.started for each in self.kept.servers} if self.kept else {}
+        known = {each.uid: each.started for each in self.former.servers} if self.former else {}
         spread = asking.window(self.routers, asking.DISCOVERY_EACH)
         in_service = self.uptime() > self.order.waits.list + spread
         off = trust.clock_off(0.0, list(self.walls.values()))
@@ -278,10 +281,10 @@
 
     def _use_kept_list(self) -> None:
         """Discovery is not waited for any longer: what was kept serves reads, and every server is cold."""
-        if self.kept is None or not self.kept.servers:
+        if self.former is None or not self.former.servers:
             return
         targets = []
-        for each in self.kept.servers:
+        for each in self.former.servers:
             where = address(each.endpoint, "snapshot")
             ident = xxh64_intdigest(each.uid.encode())  # as net.bulletin makes it
             listing = Listing(
@@ -291,7 +294,7 @@
             targets.append(Target(listing, each.uid, where))
         logger.warning("recovery: no list: {} servers as kept, for reads only", len(targets))
         self.old_list_until = inf
-        self.hear_list_below(Bulletin(self.kept.list_rev, True, tuple(targets)), True)
+        self.hear_list_below(Bulletin(self.former.list_rev, True, tuple(targets)), True)
 
     # -- peers
 
@@ -386,11 +389,13 @@
 
     def hear(self, feed: Feed, asked_at: float) -> None:
         """A feed was followed."""
-        before, same = self.mind, bool(self.kept and self.kept.keeper_run) and (
-            feed.keeper_run == self.kept.keeper_run
+        before, same = self.mind, bool(self.former and self.former.keeper_run) and (
+            feed.keeper_run == self.former.keeper_run
         )
         self.mind = evidence.hear_keeper(before, same, self.uptime())
         self.keeper_run = feed.keeper_run
+        if self.wait_later:
+            self.wait_later, self.follower.wait = 0.0, self.wait_later
         # Parts hear the same feed: what they want of it they have then, or a later one brings it.
         self.facts.keeper = self.facts.parts = True
         self._changed(before)
@@ -437,11 +442,11 @@
 
     async def _look_on(self) -> None:
         """Everything that time alone brings."""
-        if self.follower is not None and self.kept is not None:
+        if self.follower is not None and self.former is not None:
             for part in self.follower.parts:
                 restore = getattr(part, "restore", None)
-                if restore is not None and part.name in self.kept.parts:
-                    restore(self.kept.parts[part.name])
+                if restore is not None and part.name in self.former.parts:
+                    restore(self.former.parts[part.name])
         while True:
             self._look()
             await trio.sleep(LOOK)
@@ -512,14 +517,10 @@
         if span < 1.0 or self.order.stage is not Stage.OPEN:
             return
         self.learnt_at = now
-        router, keep = self.dispatch.router, exp(-span / LEARN_TIME)
-        reads, every = router.rate.read(now), sum(router.used)
-        writes = max(every - reads, 0.0)
-        old = self.learnt
-        self.learnt = Learnt(
-            keep * old.reads + (1.0 - keep) * reads, keep * old.writes + (1.0 - keep) * writes,
-            router.gate.limit,
-        )
+        router, old = self.dispatch.router, self.learnt
+        reads = router.rate.read(now)
+        writes = max(sum(router.used) - reads, 0.0)
+        self.learnt = Learnt(_towards(old.reads, reads, span), _towards(old.writes, writes, span))
 
     def _flush_log(self) -> None:
         for log in (self.order.log, self.opening.log, self.effects.log):
@@ -542,17 +543,17 @@
             epoch=mind.epoch,
             runs=[max(peer.run, peer.known_run) for peer in mind.peers],
             lately=list(evidence.heard_lately(mind, self.uptime(), self.slack)),
-            list_rev=self.list_rev if self.servers else self.kept.list_rev if self.kept else -1,
+            list_rev=self.list_rev if self.servers else self.former.list_rev if self.former else -1,
             servers=self._entries(),
             learnt=self.learnt,
-            keeper_run=self.keeper_run or (self.kept.keeper_run if self.kept else ""),
+            keeper_run=self.keeper_run or (self.former.keeper_run if self.former else ""),
             store=store.name, revision=store.revision, incarnations=dict(store.incarnations),
             floor=store.floor, parts=parts,
         )
 
     def _entries(self) -> list[Entry]:
         if not self.servers:
-            return self.kept.servers if self.kept else []
+            return self.former.servers if self.former else []
         return [
             Entry(
                 target.uid, f"{target.endpoint[0]}:{target.endpoint[1]}", target.listing.zone,
@@ -581,6 +582,11 @@
             await trio.sleep(min(float(self.entry.every), 0.1))
 
 
+def _towards(old: float, now: float, span: float) -> float:
+    """A smoothed figure, `span` seconds later."""
+    return now + (old - now) * exp(-span / (RISE_TIME if now > old else FALL_TIME))
+
+
 def mark_of(told: bytes) -> bytes:
     """The mark in an operation's labels, empty where there is none."""
     for part in told.split(b","):
--- a/gaugehinge/recovery/evidence.py
+++ b/gaugehinge/recovery/evidence.py
@@ -109,7 +109,7 @@
 def slack_of(routers: int, told_each: float) -> float:
     """Seconds after which a live peer was heard again, with some to spare; `told_each`: peers that each
     router tells a second."""
-    return max(LEAST_SLACK, 1.5 * (routers - 1) / told_each)
+    return max(LEAST_SLACK, 1.5 * (routers - 1) / told_each) if routers > 1 else LEAST_SLACK
 
 
 def say(
--- a/gaugehinge/recovery/opening.py
+++ b/gaugehinge/recovery/opening.py
@@ -18,7 +18,7 @@
 from .evidence import Verdict
 
 STEP = 0.25  # seconds
-RISE = 1.25  # of a lane's rate, a step in which it bound and what it let in went well
+RISE = 1.5  # of a lane's rate, a step in which it bound and what it let in went well
 FALL = 0.6  # the same, a step back
 REST_STEPS = 4  # steps after one back in which nothing rises
 BAD_PART = 0.2  # of what ended in a step: this much not settled is a step back,
@@ -26,10 +26,13 @@
 BAD_LEAST = 3  # but never for fewer than this
 CALM_STEPS = 6  # steps in a row in which nobody was turned away: the lanes are of no use any more
 LEAST_RATE = 2.0  # operations a second of a lane, whatever went wrong
+FIRST_RATE = 50.0  # of all routers together in the first lane, where nothing is known of the origin
 COLD_READS = 2.5  # a second at a cold server, from all routers together, where nothing else is known
 READS_AFTER = 0.5  # seconds after the other lane
 READ_ORIGIN = 0.5  # of the origin's part that reads may take by their misses
 LEAST_MISSES = 0.02
+LEAST_SHARE = 1e-9
+LOW_PART = 0.05  # of a lane that what earns less gets, however much of what earns more there is
 LONGEST = 3.0  # times the warm-up, and LONGEST_MORE: with no failures the lanes end then
 LONGEST_MORE = 10.0
 AWAY_LEAST = 0.2  # seconds that a client is told to stay away
@@ -107,7 +110,7 @@
     Those without a share get what is left, in equal parts."""
     got = [0.0] * len(wanted)
     for weights in (shares, [1.0] * len(wanted)):
-        hungry = [i for i, want in enumerate(wanted) if want > got[i] and weights[i] > 0.0]
+        hungry = [i for i, want in enumerate(wanted) if want > got[i] and weights[i] > LEAST_SHARE]
         while hungry and total > 1e-9:
             each = total / sum(weights[i] for i in hungry)
             full = [i for i in hungry if wanted[i] - got[i] <= each * weights[i]]
@@ -129,7 +132,9 @@
     ranks: int  # of payoff; 0 is the highest
     tokens: list[float] = field(default_factory=list)
     pool: float = 0.0  # what tenants left of it
-    asked: list[float] = field(default_factory=list)  # in this step
+    rooms: list[float] = field(default_factory=list)  # by rank, what is left by those that earn more
+    asked: list[float] = field(default_factory=list)  # in this step, by tenant,
+    ranked: list[float] = field(default_factory=list)  # and by rank
     turned: int = 0  # away, in this step
     settled: int = 0
     failed: int = 0
@@ -139,19 +144,24 @@
         """So many tenants, and one place for those that have none."""
         for figures in (self.tokens, self.asked):
             figures.extend([0.0] * (tenants + 1 - len(figures)))
+        if not self.rooms:
+            self.rooms, self.ranked = [1.0] * self.ranks, [0.0] * self.ranks
 
     def take(self, tenant: int, rank: int) -> bool:
         """Whether one more is let in."""
         if tenant + 2 > len(self.tokens):
             self.size(tenant + 1)
         self.asked[tenant] += 1.0
-        least = 1.0 + rank  # what earns less leaves so much for what earns more
-        if self.tokens[tenant] >= least:
-            self.tokens[tenant] -= 1.0
-            return True
-        if self.pool >= least:
-            self.pool -= 1.0
-            return True
+        self.ranked[rank] += 1.0
+        if self.rooms[rank] >= 1.0:
+            if self.tokens[tenant] >= 1.0:
+                self.tokens[tenant] -= 1.0
+                self.rooms[rank] -= 1.0
+                return True
+            if self.pool >= 1.0:
+                self.pool -= 1.0
+                self.rooms[rank] -= 1.0
+                return True
         self.turned += 1
         return False
 
@@ -160,11 +170,15 @@
         total = self.rate * span
         weights = [*shares, *[0.0] * (len(self.asked) - len(shares))]
         got = portion(total, weights, self.asked)
-        most = 1.0 + self.ranks
         for i, more in enumerate(got):
-            self.tokens[i] = min(self.tokens[i] + more, max(most, 2.0 * more))
-        self.pool = min(self.pool + max(total - sum(got), 0.0), max(most, 2.0 * total))
-        self.asked = [0.0] * len(self.asked)
+            self.tokens[i] = min(self.tokens[i] + more, max(2.0, 2.0 * more))
+        self.pool = min(self.pool + max(total - sum(got), 0.0), max(2.0, 2.0 * total))
+        left = total
+        for rank, asked in enumerate(self.ranked):
+            room = max(left, LOW_PART * total)
+            self.rooms[rank] = min(self.rooms[rank] + room, max(2.0, 2.0 * room))
+            left -= asked
+        self.asked, self.ranked = [0.0] * len(self.asked), [0.0] * self.ranks
 
     def judge(self) -> int:
         """What the step showed: 1 well, -1 badly, 0 neither. Begins the next one."""
@@ -218,9 +232,10 @@
         self.bearing, self.began, self.stepped = bearing, now, now
         self.share(shares)
         part = bearing.origin / bearing.routers
-        start = 0.5 * (bearing.writes or part)
+        start = 0.5 * (bearing.writes or part) or FIRST_RATE / bearing.routers
         self.writes.rate = max(min(start, part) if part else start, LEAST_RATE)
         self.writes.pool = self.writes.rate * STEP
+        self.writes.rooms = [self.writes.pool] * self.writes.ranks
 
     def share(self, shares: Sequence[float]) -> None:
         """The tenants' shares, by place."""
--- a/gaugehinge/recovery/snapshot.py
+++ b/gaugehinge/recovery/snapshot.py
@@ -22,7 +22,6 @@
 
     reads: float = 0.0  # a second that this router settled
     writes: float = 0.0
-    origin: float = 0.0  # legs at the origin that this router's gate let be out
 
 
 class Entry(msgspec.Struct, frozen=True):
