--- a/gaugehinge/recovery/opening.py
+++ b/gaugehinge/recovery/opening.py
@@ -25,6 +25,7 @@
 GOOD_PART = 0.05  # and under this a step on
 BAD_LEAST = 3  # but never for fewer than this
 CALM_STEPS = 6  # steps in a row in which nobody was turned away: the lanes are of no use any more
+WARM_ENOUGH = 0.8  # and then: a quiet router is no proof for those that come back all at once
 LEAST_RATE = 2.0  # operations a second of a lane, whatever went wrong
 FIRST_RATE = 50.0  # of all routers together in the first lane, where nothing is known of the origin
 COLD_READS = 2.5  # a second at a cold server, from all routers together, where nothing else is known
@@ -290,7 +291,7 @@
         longest = LONGEST * self.cold_time + LONGEST_MORE
         sound = min(one, other) >= 0 and not (self.writes.rest or self.reads.rest)
         late = sound and now - self.began > longest
-        if self.calm >= CALM_STEPS or late:
+        if (self.calm >= CALM_STEPS and warmth >= WARM_ENOUGH) or late:
             self.open = True
             self.log.append(f"open after {now - self.began:.1f} s: {self._figures(warmth)}")
 
--- a/gaugehinge/rehearsal/recoveryplay.py
+++ b/gaugehinge/rehearsal/recoveryplay.py
@@ -48,6 +48,7 @@
 
 FULL = Cast()
 SMALL = Cast(routers=3, servers=4, rate=60.0, before=3.0, after=8.0, gaps=0.25, warm_up=1.5, origin_bears=60)
+TINY = Cast(routers=3, servers=3, rate=40.0, before=2.0, after=6.0, gaps=0.2, warm_up=1.0, origin_bears=60)
 
 
 def case_of(seed: int) -> str:
@@ -108,6 +109,9 @@
             await desk.post("/v1/tenants", json={"name": "late"})
     elif case == "discovery older":
         all_.keep_copy("discovery")
+        all_.kill("server-0")  # what it told since then is not in the copy
+        all_.start("server-0")
+        await all_.up("server-0")
 
 
 async def _in_turns(all_: Company, cast: Cast) -> None:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,5 +1,6 @@
-"""The decisions of gaugehinge.recovery in virtual time, and its driver in a router between stand-ins. Each part
-is also switched off, and must then show the harm that it exists against."""
+"""The decisions of gaugehinge.recovery in virtual time, and its driver in a router between stand-ins.
+
+Parts are also switched off, and must then show the harm that they exist against."""
 
 import random
 import struct
@@ -65,7 +66,8 @@
 
 
 def test_a_snapshot_stays_within_its_size_and_loses_the_list_before_the_run(tmp_path):
-    servers = [Entry(f"server-{n:05d}" * 4, "127.0.0.1:6379", "a", "std", 0, "ready", 1.0) for n in range(20_000)]
+    one = Entry("", "127.0.0.1:6379", "a", "std", 0, "ready", 1.0)
+    servers = [msgspec.structs.replace(one, uid=f"server-{n:05d}" * 4) for n in range(20_000)]
     file = SnapshotFile(str(tmp_path / "snap"), identity_of(KEY, "n0", 0))
     file.save(kept(servers=servers, list_rev=4, epoch=3))
     found, _ = file.load()
@@ -110,7 +112,8 @@
     fresh, month = trust.Age(10.0, True), trust.Age(30 * 86400.0, False)
     assert trust.belief("learnt", fresh) > 0.99 and trust.belief("learnt", month) < 1e-6
     assert trust.belief("lately", fresh) == 1.0 and trust.belief("lately", month) == 0.0
-    assert [trust.belief(name, fresh) for name in ("run", "list", "leases", "grants", "marks")] == [1, 0, 0, 0, 0]
+    assert trust.belief("run", fresh) == 1.0
+    assert not any(trust.belief(name, fresh) for name in ("list", "leases", "grants", "marks"))
 
 
 def test_a_clock_an_hour_off_takes_no_cold_server_for_a_warm_one():
@@ -379,7 +382,7 @@
 def test_times_to_come_back_are_spread():
     opening = Opening(replace(PLAIN, longest_come_back=2.0), 3)
     times = [opening.admit(0, 0, False, 0.0) for _ in range(200)]
-    assert 0.2 <= min(times) and max(times) <= 2.0 and max(times) - min(times) > 0.15
+    assert min(times) >= 0.2 and max(times) <= 2.0 and max(times) - min(times) > 0.15
     opening.begin(Bearing(1, 4, 0.0, 0.0), [1.0], 0.0)
     later = [opening.admit(1, 0, True, 0.0) for _ in range(400)][-100:]
     assert max(later) > 1.5 and len({round(each, 2) for each in later}) > 50
