--- a/gaugehinge/rehearsal/recoveryplay.py
+++ b/gaugehinge/rehearsal/recoveryplay.py
@@ -98,7 +98,9 @@
         await all_.load_over()
         bounds = all_.bounds()
     history = list(read_history(folder))
-    return judged(history, bounds, _figures(history, began, cast))
+    told = _figures(history, began, cast)
+    told["set_aside"] = float(len(list(folder.glob("files/router-*/recovery.aside-*"))))
+    return judged(history, bounds, told)
 
 
 async def _prepare(all_: Company, case: str) -> None:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -457,7 +457,8 @@
         if switched_off:
             played.made.effects.final = lambda *told: False
         client = await made.client()
-        await until(lambda: played.made.order.stage is Stage.OPEN)
+        await until(lambda: played.made.order.stage is Stage.CLIENTS)
+        played.made.opening.open = True
         labels = "c=mark,t=acme,d=4000,k=m1"
         repeat = await client.put(labels=f"{labels},r=1")
         first = await client.put(labels=labels.replace("m1", "m2"))
