What the origin holds back of reads does not come all at once later

The reads' factor rose while the origin's part was what bound them; with the caches filled 2,748 reads came in one second at servers that bear 1,800 cold (2.77 times, in virtual time).

--- a/gaugehinge/recovery/opening.py
+++ b/gaugehinge/recovery/opening.py
@@ -19,6 +19,7 @@
 
 STEP = 0.25  # seconds
 RISE = 1.5  # of a lane's rate, a step in which it bound and what it let in went well
+RISE_BEYOND = 1.1  # the same of reads beyond steady service: that more is asked is the loss's own doing
 FALL = 0.6  # the same, a step back
 REST_STEPS = 4  # steps after one back in which nothing rises
 BAD_PART = 0.2  # of what ended in a step: this much not settled is a step back,
@@ -30,7 +31,8 @@
 FIRST_RATE = 50.0  # of all routers together in the first lane, where nothing is known of the origin
 COLD_READS = 2.5  # a second at a cold server, from all routers together, where nothing else is known
 READS_AFTER = 0.5  # seconds after the other lane
-READ_ORIGIN = 0.5  # of the origin's part that reads may take by their misses
+READ_ORIGIN = 0.5  # of the origin's part that reads may take by their misses at least,
+ORIGIN_FULL = 0.9  # and up to this, with what the other lane let in
 LEAST_MISSES = 0.02
 LEAST_SHARE = 1e-9
 LOW_PART = 0.05  # of a lane that what earns less gets, however much of what earns more there is
@@ -137,6 +139,7 @@
     asked: list[float] = field(default_factory=list)  # in this step, by tenant,
     ranked: list[float] = field(default_factory=list)  # and by rank
     turned: int = 0  # away, in this step
+    taken: int = 0  # in, in this step
     settled: int = 0
     failed: int = 0
     rest: int = 0  # steps in which it does not rise
@@ -158,10 +161,12 @@
             if self.tokens[tenant] >= 1.0:
                 self.tokens[tenant] -= 1.0
                 self.rooms[rank] -= 1.0
+                self.taken += 1
                 return True
             if self.pool >= 1.0:
                 self.pool -= 1.0
                 self.rooms[rank] -= 1.0
+                self.taken += 1
                 return True
         self.turned += 1
         return False
@@ -184,7 +189,7 @@
     def judge(self) -> int:
         """What the step showed: 1 well, -1 badly, 0 neither. Begins the next one."""
         ended, failed, turned = self.settled + self.failed, self.failed, self.turned
-        self.settled = self.failed = self.turned = 0
+        self.settled = self.failed = self.turned = self.taken = 0
         if failed >= BAD_LEAST and failed > BAD_PART * ended:
             self.rest = REST_STEPS
             return -1
@@ -281,10 +286,10 @@
         if self.open or self.began < 0.0 or now - self.stepped < STEP:
             return
         span, self.stepped = now - self.stepped, now
-        turned = self.writes.turned + self.reads.turned
+        turned, writes = self.writes.turned + self.reads.turned, self.writes.taken / span
         one, other = self.writes.judge(), self.reads.judge()
         self._step_writes(one)
-        self._step_reads(other, warmth, now)
+        self._step_reads(other, warmth, writes, now)
         for lane in (self.writes, self.reads):
             lane.refill(self.shares, span)
         self.calm = 0 if turned or one < 0 or other < 0 or self.reads.rate <= 0.0 else self.calm + 1
@@ -304,22 +309,26 @@
         elif shown > 0:
             lane.rate = max(min(lane.rate * RISE, most), LEAST_RATE)
 
-    def _step_reads(self, shown: int, warmth: float, now: float) -> None:
+    def _step_reads(self, shown: int, warmth: float, writes: float, now: float) -> None:
         if shown < 0:
             self.factor *= FALL
             self.log.append(f"step back of reads: {self.reads.rate * FALL:.1f} a second")
         elif shown > 0:
-            self.factor *= RISE
+            beyond = 0.0 < self.bearing.reads <= self.reads.rate
+            self.factor *= RISE_BEYOND if beyond else RISE
         if now - self.began < READS_AFTER:
             return
         bearing = self.bearing
         each = bearing.cold_reads or COLD_READS
         floor = each * bearing.servers / bearing.routers
         speed = self.cold_from + (1.0 - self.cold_from) * warmth
-        rate = max(bearing.reads * speed, floor * max(warmth / max(self.cold_from, 0.01), 1.0)) * self.factor
+        base = max(bearing.reads * speed, floor * max(warmth / max(self.cold_from, 0.01), 1.0), 0.01)
+        rate = base * self.factor
         if self.aside and bearing.origin:
-            left = READ_ORIGIN * bearing.origin / bearing.routers
+            part = bearing.origin / bearing.routers
+            left = max(READ_ORIGIN * part, ORIGIN_FULL * part - writes)
             rate = min(rate, left / max(self.misses, LEAST_MISSES))
+            self.factor = rate / base  # what the origin holds back must not come all at once later
         self.reads.rate = max(rate, LEAST_RATE)
 
     def _figures(self, warmth: float) -> str:
--- a/gaugehinge/rehearsal/recoveryplay.py
+++ b/gaugehinge/rehearsal/recoveryplay.py
@@ -60,7 +60,9 @@
     """What plays. `more`: further fields of `[recovery]`."""
     recovery = {
         "on": on, "key_file": str(folder / "key"), "snapshot": "{files}/recovery", "every": "0.5s",
-        "decide": "2s", "keeper_wait": "4s", "list_wait": "4s", "doubt": "3s", "repeats": "4s", **more,
+        "decide": "2s", "keeper_wait": "4s", "list_wait": "4s", "doubt": "3s", "repeats": "4s",
+        "origin": "600/s", "cold_reads": "300/s",  # of 800 and 600 that they can do
+        **more,
     }
     off = (("router-1", 3600.0),) if case == "clock off" else ()
     return Plan(
