--- a/gaugehinge/recovery/opening.py
+++ b/gaugehinge/recovery/opening.py
@@ -238,8 +238,8 @@
         self.bearing, self.began, self.stepped = bearing, now, now
         self.share(shares)
         part = bearing.origin / bearing.routers
-        start = 0.5 * (bearing.writes or part) or FIRST_RATE / bearing.routers
-        self.writes.rate = max(min(start, part) if part else start, LEAST_RATE)
+        start = 0.5 * (part or bearing.writes) or FIRST_RATE / bearing.routers
+        self.writes.rate = max(start, LEAST_RATE)
         self.writes.pool = self.writes.rate * STEP
         self.writes.rooms = [self.writes.pool] * self.writes.ranks
 
