--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -421,9 +421,10 @@
 
 @in_trio
 async def test_clients_wait_until_ready_and_nothing_stands_in_the_way_when_open(tmp_path):
-    played = Played(tmp_path)
+    played = Played(tmp_path, list_wait=60.0)
     settings = {**SETTINGS, "replicasOfMe": 1}
     async with fleet(tmp_path, [Cache()], settings=settings, extend=played.extend) as made:
+        played.made.effects.until = [0.0, 1e12, 0.0]  # as long as this test takes
         client = await made.client()
         assert await client.ask("PING") == b"-ERR recovering\r\n"
         reply = await client.get()
@@ -453,6 +454,8 @@
 
     played, settings = Played(tmp_path), {**SETTINGS, "replicasOfMe": 1}
     async with fleet(tmp_path, [Cache()], origin, settings=settings, extend=played.extend) as made:
+        assert played.made.effects.until[1:] > [played.made.clock()] * 2
+        played.made.effects.until = [0.0, 1e12, 1e12]  # as long as this test takes
         made.service.dispatch.hear_list(told_list(made, boot_ms=5000))
         if switched_off:
             played.made.effects.final = lambda *told: False
@@ -491,7 +494,7 @@
 @pytest.mark.parametrize("way", ["last", "older"])
 @in_trio
 async def test_a_list_kept_or_old_serves_reads_alone(tmp_path, way):
-    played, settings = Played(tmp_path), {**SETTINGS, "replicasOfMe": 1}
+    played, settings = Played(tmp_path, doubt=1000.0), {**SETTINGS, "replicasOfMe": 1}
 
     def extend(service, nursery):
         keep_snapshot(tmp_path, service.berth.known["targets"])
@@ -512,8 +515,10 @@
                 await trio.sleep(0.02)
         if way == "last":
             made.service.dispatch.hear_list(told_list(made, boot_ms=90_000))
+        else:
+            recovery.old_list_until = recovery.clock()  # the doubt is over
         await until(lambda: not recovery.old_list_until)
-        recovery.effects.until = [0.0] * 3
+        recovery.effects.until, recovery.opening.open = [0.0] * 3, True
         assert (await client.put()).startswith(b"$")
 
 
@@ -542,7 +547,7 @@
 
 @in_trio
 async def test_messages_of_peers_and_of_the_module_find_their_ways(tmp_path):
-    played, told = Played(tmp_path), []
+    played, told = Played(tmp_path, decide=1000.0), []
     async with fleet(tmp_path, [Cache()], extend=played.extend) as made:
         recovery, dispatch = played.made, made.service.dispatch
         recovery._tell = lambda number, echo=None: told.append(
@@ -551,13 +556,16 @@
         assert recovery.mind.verdict is Verdict.DECIDING
         peer = evidence.begin(1, recovery.mind.zone, 5, 77, (0, 5), (-1, -1), 3.0, 6)
         peer = evidence.hear(peer, evidence.say(recovery.mind, 1, 0.0), 40.0)[0]
+        assert "recovering" in repr(made.service.course.phase).lower()
         dispatch.hear_peer(1, Wire(b"wrong key" * 2).write(evidence.say(peer, 0, 40.0)))
         assert recovery.wire.dropped["mark"] == 1 and recovery.mind.epoch == 0
         lived = evidence.say(peer, 0, 40.0, lost_ago=3.0)._replace(lived=True)
+        before = recovery.clock()
         dispatch.hear_peer(1, recovery.wire.write(lived))
+        after = recovery.clock()
         assert recovery.mind.verdict is Verdict.LONE and recovery.mind.epoch == 6
-        assert recovery.effects.open(recovery.clock() + 5.5)  # it saw marks lost 3 s ago, of 9
-        assert not recovery.effects.open(recovery.clock() + 6.5)
+        assert recovery.effects.open(before + 5.9)  # it saw marks lost 3 s ago, of 9
+        assert not recovery.effects.open(after + 6.1)
         dispatch.hear_peer(1, struct.pack("<f", 4.0))
         assert dispatch.router.peers[1][1] == (4.0,)
 
