--- a/gaugehinge/net/service.py
+++ b/gaugehinge/net/service.py
@@ -84,26 +84,27 @@
                 self.dispatch.bind(pool, discovery.follow, peers.tell if peers else lambda *told: None)
                 if known is not None and not near:
                     self.dispatch.hear_list(known, held=True)
-                self.dispatch.begin()
                 door = self.new_door(berth.charter, self.dispatch, berth.memory) if self.new_door else None
                 self.clients = self.kind(
                     berth.charter, self.course, self.dispatch, int(berth.sockets * CLIENT_PART), berth.memory,
                     nursery, door,
                 )
                 nursery.start_soon(self.deadlines.run)
-                if peers is not None:
-                    nursery.start_soon(peers.hear, self.dispatch.hear_peer)
                 self.fronts.append((self.clients, self.listening))
                 if self.extend is not None:
-                    self.extend(self, nursery)
+                    self.extend(self, nursery)  # what it puts before the dispatch acts from the first call on
+                self.dispatch.begin()
+                if peers is not None:
+                    nursery.start_soon(peers.hear, self.dispatch.hear_peer)
                 self._divide(berth)
                 accepting = trio.CancelScope()
                 nursery.start_soon(self._accept, accepting)
+                up = known is not None and any(t.listing.presence is Presence.UP for t in known.targets)
                 if near:
                     # What the agent has counts as told from the first moment on: by a list kept from before,
                     # legs went to servers that had been told to drain. Only with the agent away it serves.
                     self.deadlines.at(self.clock() + START_TIME, self._without_agent, known)
-                elif known is not None and any(t.listing.presence is Presence.UP for t in known.targets):
+                elif up and self.course.phase is Phase.STARTING:
                     self._enter(Phase.READY)
                 else:
                     self.deadlines.at(self.clock() + START_TIME, self._ready)
