--- a/gaugehinge/drains/grants.py
+++ b/gaugehinge/drains/grants.py
@@ -371,7 +371,9 @@
         after = msgspec.structs.replace(
             slot, run=word.run, run_number=word.run_number, remains=left, closed=False, zone=word.zone
         )
-        return self._renumber(after, {}, {})
+        # Nothing is left of before, whatever else this store does not know: the floor is this run's at once.
+        floors = {} if left or now >= self.settled_at else dict(slot.floors)
+        return self._renumber(after, floors, floors)
 
     # -- who is to have how many
 
--- a/gaugehinge/rehearsal/drainsplay.py
+++ b/gaugehinge/rehearsal/drainsplay.py
@@ -259,6 +259,7 @@
     all_.keep_copy("keeper")
     await trio.sleep(3.0)
     all_.kill("keeper")
+    await all_.over("keeper")  # a process in a write ends when that does: nothing here may stand still for it
     all_.start("keeper", "older")
 
 
