Recovery cuts no lease short and tells nobody its own belief of when servers started

Two parts and recovery were never run in one router. Recovery gave the follower its first wait back after placement and drains had shortened it: the second call stood open 5 s under a lease of 3 s. And the list passed placement and drains with starts as this router believed them, another figure at each router: the keeper could take that for a server's start. Now the follower itself asks its first call at once, and beliefs are laid on below the overlay. Both tests fail without it.

--- a/gaugehinge/hosted/follower.py
+++ b/gaugehinge/hosted/follower.py
@@ -111,6 +111,7 @@
         self.first_wait = 0.0  # seconds before the first call
         self.weigh: Callable[[Feed], Feed] | None = None  # what of a feed is followed; may raise BadFeed
         self.wait = WAIT  # seconds that a call may stand open; less where leases are short
+        self.first_at_once = False  # no call stands open until one was heard: it asks who is there
         self.slack = SLACK  # over that, until a call counts as failed; less where leases are short
 
     # -- the start
@@ -158,13 +159,14 @@
     async def _call(self) -> Feed:
         roster = self.roster
         said = {part.name: part.report() for part in self.parts}
+        wait = 0.0 if self.first_at_once and not self.heard_at else self.wait
         report = Report(
-            self.service.berth.name, self.run_mark, roster.store, roster.revision, self.wait, self.in_hand(),
+            self.service.berth.name, self.run_mark, roster.store, roster.revision, wait, self.in_hand(),
             self.run_number, {name: msgspec.Raw(body) for name, body in said.items() if body is not None},
             roster.mark,
         )
         self.calls += 1
-        with trio.move_on_after(CONNECT_TIME + self.wait + self.slack):
+        with trio.move_on_after(CONNECT_TIME + wait + self.slack):
             answer = await self.client.post("/v1/feed", content=msgspec.json.encode(report))
             if answer.status_code != 200:
                 raise Refused(f"status {answer.status_code}")
--- a/gaugehinge/recovery/driver.py
+++ b/gaugehinge/recovery/driver.py
@@ -81,7 +81,6 @@
         self.store = trust.KnownStore("", 0, {})
         self.older_until = 0.0  # a keeper from before what was heard is not followed until then; 0: none is
         self.keeper_run = ""
-        self.wait_later = 0.0  # of the follower's calls, once the first one was answered
         self.servers: dict[str, Target] = {}  # as discovery told them, follows the list
         self.list_rev = -1
         self.list_sum = 0
@@ -96,6 +95,7 @@
         self.dirty = trio.Event()
         self.parting = False  # whether operations pass by `_submit`
         self.hear_list_below: Callable[..., None] = self.dispatch.hear_list
+        self.hear_believed: Callable[..., None] = self.dispatch.hear_list
         self.hear_peer_below = self.dispatch.hear_peer
         self.submit_below = self.dispatch.submit
         self.follow_below: Callable[[], None] = self.dispatch.follow
@@ -149,8 +149,9 @@
         self._part(True)
         if self.follower is not None:
             self.follower.first_wait = places.keeper
-            # The first call asks who is there: with nothing new it would stand open for seconds.
-            self.wait_later, self.follower.wait = self.follower.wait, 0.0
+            self.follower.first_at_once = True
+            # Other parts tell the keeper when servers started: as they were told, not as is believed here.
+            self.hear_believed, self.follower.hear_list = self.follower.hear_list, self._believe
             self.follower.weigh = self._weigh
             self.follower.run_number = self.mind.run
             self.follower.parts.append(self)
@@ -260,6 +261,13 @@
         self.known_rev, self.known_starts = bulletin.rev, told
 
     def _pass_on(self, bulletin: Bulletin, held: bool) -> None:
+        if self.follower is None:
+            self._believe(bulletin, held)
+        else:
+            self.hear_list_below(bulletin, held)  # comes back through the follower
+
+    def _believe(self, bulletin: Bulletin, held: bool = False) -> None:
+        """Tell the decisions when servers started as it is believed."""
         known = {each.uid: each.started for each in self.former.servers} if self.former else {}
         spread = asking.window(self.routers, asking.DISCOVERY_EACH)
         in_service = self.uptime() > self.order.waits.list + spread
@@ -268,6 +276,10 @@
         for target in bulletin.targets:
             told = target.listing.started
             seen = self.starts.get(target.uid)
+            if held and self.old_list_until == inf:
+                target = target._replace(listing=target.listing._replace(started=self.began))
+                targets.append(target)
+                continue
             if target.listing.presence is Presence.GONE:
                 self.starts.pop(target.uid, None)
             elif seen is None or seen[0] != told:
@@ -277,7 +289,7 @@
             if seen is not None:
                 target = target._replace(listing=target.listing._replace(started=seen[1]))
             targets.append(target)
-        self.hear_list_below(Bulletin(bulletin.rev, bulletin.whole, tuple(targets)), held)
+        self.hear_believed(Bulletin(bulletin.rev, bulletin.whole, tuple(targets)), held)
 
     def _use_kept_list(self) -> None:
         """Discovery is not waited for any longer: what was kept serves reads, and every server is cold."""
@@ -289,12 +301,12 @@
             ident = xxh64_intdigest(each.uid.encode())  # as net.bulletin makes it
             listing = Listing(
                 ident, each.zone, each.kind, each.cell, PRESENCES.get(each.state, Presence.DRAINING),
-                self.began, each.weight,
+                each.started, each.weight,
             )
             targets.append(Target(listing, each.uid, where))
         logger.warning("recovery: no list: {} servers as kept, for reads only", len(targets))
         self.old_list_until = inf
-        self.hear_list_below(Bulletin(self.former.list_rev, True, tuple(targets)), True)
+        self._pass_on(Bulletin(self.former.list_rev, True, tuple(targets)), True)
 
     # -- peers
 
@@ -394,8 +406,6 @@
         )
         self.mind = evidence.hear_keeper(before, same, self.uptime())
         self.keeper_run = feed.keeper_run
-        if self.wait_later:
-            self.wait_later, self.follower.wait = 0.0, self.wait_later
         # Parts hear the same feed: what they want of it they have then, or a later one brings it.
         self.facts.keeper = self.facts.parts = True
         self._changed(before)
--- /dev/null
+++ b/tests/test_parts_together.py
@@ -0,0 +1,85 @@
+"""What recovery, placement and drains do to each other in one router that follows a keeper."""
+
+from functools import partial
+
+import httpx
+import msgspec
+import trio
+
+from gaugehinge.hosted.follower import Follower
+from gaugehinge.hosted.overlay import Overlay
+from gaugehinge.hosted.roster import Roster
+from gaugehinge.installation.form import RecoveryEntry
+from gaugehinge.net.bulletin import read_bulletin
+from gaugehinge.placement.forms import KeeperTold
+from gaugehinge.placement.router import placing
+from gaugehinge.recovery.driver import Recovery
+from gaugehinge.recovery.evidence import Verdict
+from gaugehinge.tenancy.feed import Feed, Report
+from tests.helper import SETTINGS, Cache, fleet
+
+KEY = b"k" * 16
+LEASE = 3.0
+
+
+class Together:
+    """A router with placement and recovery, as `gaugehinge serve` puts them together."""
+
+    def __init__(self, tmp_path) -> None:
+        self.entry = RecoveryEntry(True, "key", str(tmp_path / "snap"), decide=0.3, list_wait=0.4)
+        self.waits: list[float] = []  # that each call for news asked for
+        self.fed = trio.Event()
+
+    def extend(self, service, nursery):
+        client = httpx.AsyncClient(base_url="http://keeper", transport=httpx.MockTransport(self.keeper))
+        self.follower = Follower(service, Roster(), Overlay(), client, None, 8)
+        self.follower.begin()
+        self.placing = placing(service, self.follower)
+        nursery.start_soon(self.follower.run)
+        self.recovery = Recovery(service, self.entry, KEY, self.follower)
+        self.recovery.begin(nursery)
+
+    async def keeper(self, request):
+        report = msgspec.json.decode(request.content, type=Report)
+        self.waits.append(report.wait)
+        if len(self.waits) == 3:
+            self.fed.set()
+        await trio.sleep(min(report.wait, 0.05))
+        told = KeeperTold(1, "mark", report.since == 0, [], [], LEASE, 2 * LEASE, [], "")
+        feed = Feed("store", 1, True, [], parts={"placement": msgspec.Raw(msgspec.json.encode(told))})
+        return httpx.Response(200, content=msgspec.json.encode(feed))
+
+
+def play(tmp_path, look):
+    async def main():
+        made = Together(tmp_path)
+        settings = {**SETTINGS, "replicasOfMe": 1}
+        async with fleet(tmp_path, [Cache()], settings=settings, extend=made.extend) as all_:
+            with trio.fail_after(20):
+                await look(made, all_)
+
+    trio.run(partial(main))
+
+
+def test_no_call_stands_open_for_longer_than_the_lease_that_the_first_answer_brought(tmp_path):
+    async def look(made, all_):
+        await made.fed.wait()
+        assert made.waits[0] == 0.0  # it asks who is there
+        assert 0.0 < max(made.waits[1:]) < 0.5 * LEASE
+
+    play(tmp_path, look)
+
+
+def test_the_keeper_is_told_when_servers_started_by_the_list_and_not_by_what_one_router_believes(tmp_path):
+    async def look(made, all_):
+        targets = [{**each, "boot_ms": 5000} for each in all_.targets]
+        all_.service.dispatch.hear_list(read_bulletin({"rev": 2, "all": True, "targets": targets}))
+        while made.recovery.mind.verdict is Verdict.DECIDING or not all_.service.dispatch.router.caches:
+            await trio.sleep(0.01)
+        assert {told[3] for told in made.placing.servers.values()} == {5.0}
+        told = [target.listing.started for target in made.follower.overlay.told if target.listing.started]
+        assert set(told) == {5.0}
+        believed = {cache.started for cache in all_.service.dispatch.router.caches.values()}
+        assert min(believed) >= made.recovery.began  # nobody knows whether they lived on: cold
+
+    play(tmp_path, look)
