--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -195,6 +195,9 @@
     assert of(Process(0.5, "play", "router-1", "stopped")) == []
     assert of(Process(0.99, "play", "router-1", "told_to_end")) == []  # may have stood in the queue
     assert of(Process(1.4, "play", "router-1", "told_to_end")) == ["unanswered"]
+    still = [Process(at, "play", "router-1", state) for at, state in ((0.7, "stopped"), (0.8, "continued"))]
+    assert of(*still) == ["unanswered"]
+    assert of(Process(0.6, "play", "router-1", "told_to_end"), *still) == []  # it goes on leaving
 
 
 def test_the_end_of_a_former_process_noted_late_is_no_crash():
