Clients wait for grants and leases; bounces for want of them, or of room in a shard's region, close no lane

The stage of parts now waits, up to its bound, until each part has what it needs of the keeper's word, and what is bounced before that is no sign of too much let in.

--- a/gaugehinge/drains/router.py
+++ b/gaugehinge/drains/router.py
@@ -419,6 +419,11 @@
     def away(self) -> None:
         """The clock alone says when the lease is over."""
 
+    def ready(self) -> bool:
+        """Whether lines may be opened, by a grant or at the floor. For `recovery`."""
+        now = self.clock()
+        return any(self.holding.most(store, now) for store in (ORIGIN, SERVERS))
+
     # -- the end
 
     async def farewell(self) -> None:
--- a/gaugehinge/placement/router.py
+++ b/gaugehinge/placement/router.py
@@ -144,6 +144,10 @@
     def away(self) -> None:
         """A call failed: the lease runs out by itself."""
 
+    def ready(self) -> bool:
+        """Whether a lease is held: with none `only` shards are bounced. For `recovery`."""
+        return self.lease.good(self.clock())
+
     def _keep_pace(self, lease: float) -> None:
         if lease:
             self.follower.wait = min(self.follower.wait, max(min(WAIT, lease / WAITS), LEAST_WAIT))
--- a/gaugehinge/recovery/driver.py
+++ b/gaugehinge/recovery/driver.py
@@ -194,8 +194,10 @@
             return self._end(operation, answer, busy(away if self.deployment.longest_come_back else 0.0))
 
         def ended(reply: bytes) -> None:
-            at_origin = any(leg.server.origin for leg in operation.legs)
-            self.opening.ended(row, write, not reply.startswith(b"-"), at_origin)
+            settled = not reply.startswith(b"-")
+            if settled or self._tells(operation, reply):
+                at_origin = any(leg.server.origin for leg in operation.legs)
+                self.opening.ended(row, write, settled, at_origin)
             answer(reply)
 
         return self.submit_below(operation, cargo, ended)
@@ -209,6 +211,18 @@
             return self.opening.away(min(self.order.left(now - self.began), 1.0))
         return self.opening.admit(row, tenant, write, now)
 
+    def _tells(self, operation: Operation, reply: bytes) -> bool:
+        """Whether what was not settled says that too much was let in: not while leases or grants are awaited,
+        and not where a shard's own region has no room."""
+        if not self._parts_ready():
+            return False
+        return not (reply.startswith(b"-BUSY") and operation.regions and operation.regions[-1] is not None)
+
+    def _parts_ready(self) -> bool:
+        """Whether all parts that go by the keeper's word have what they need of it."""
+        parts = self.follower.parts if self.follower is not None else ()
+        return all(part.ready() for part in parts if hasattr(part, "ready"))
+
     @staticmethod
     def _end(operation: Operation, answer: Callable[[bytes], None], reply: bytes) -> int:
         operation.over = True
@@ -406,8 +420,7 @@
         )
         self.mind = evidence.hear_keeper(before, same, self.uptime())
         self.keeper_run = feed.keeper_run
-        # Parts hear the same feed: what they want of it they have then, or a later one brings it.
-        self.facts.keeper = self.facts.parts = True
+        self.facts.keeper = True
         self._changed(before)
 
     def away(self) -> None:
@@ -467,6 +480,7 @@
         self.mind = evidence.look(before, uptime)
         self._changed(before)
         self.facts.verdict = self.mind.verdict
+        self.facts.parts = self.facts.parts or (self.facts.keeper and self._parts_ready())
         stage = self.order.stage
         if stage not in (Stage.CLIENTS, Stage.OPEN):
             after = self.order.step(self.facts, uptime)
