--- a/gaugehinge/rehearsal/allplay.py
+++ b/gaugehinge/rehearsal/allplay.py
@@ -154,6 +154,8 @@
 class Supervisor(drainsplay.Supervisor):
     """Starts nothing anew while power is away."""
 
+    look = LOOK
+
     def __init__(self, all_: Company) -> None:
         super().__init__(all_)
         self.lit = trio.Event()
@@ -395,6 +397,7 @@
             nursery.cancel_scope.cancel()
         orders = {name: show.supervisor.orders(name) for name in all_.children if name.startswith("router-")}
         bounds = all_.bounds()
+        show.told["no_router"] = float(all_.crowd.tally.no_router)  # tries that found none to be sent to
     history = list(read_history(folder))
     told = {**show.told, **_figures(history, began, lost, bounds.limits["origin"]), **_moved(moves)}
     outcome = judged(history, bounds, told)
--- a/gaugehinge/rehearsal/drainsplay.py
+++ b/gaugehinge/rehearsal/drainsplay.py
@@ -92,6 +92,8 @@
 class Supervisor:
     """Starts anew what a roll took out."""
 
+    look = LOOK
+
     def __init__(self, all_: Company) -> None:
         self.all = all_
         self.seen: Counter[str] = Counter()  # orders to end, by router, that were answered with a start
@@ -105,7 +107,7 @@
         """Until cancelled."""
         async with self.all.api(party="supervisor") as desk:
             while True:
-                await trio.sleep(LOOK)
+                await trio.sleep(self.look)
                 for name in [name for name in self.all.children if name.startswith("router-")]:
                     await self._router(name)
                 with suppress(httpx.HTTPError, KeyError, ValueError):
