--- a/gaugehinge/recovery/driver.py
+++ b/gaugehinge/recovery/driver.py
@@ -37,7 +37,7 @@
 
 LOOK = 0.05  # seconds between two looks at what has come
 RISE_TIME, FALL_TIME = 2.0, 60.0  # seconds over which steady service is smoothed: a pause is no less of it
-MOST_RUN = (1 << 32) - 1
+MOST_FIGURE = (1 << 63) - 1  # of versions, as messages carry them
 STATES = {presence: state for state, presence in PRESENCES.items()}
 
 
@@ -93,6 +93,7 @@
         self.saved_at = self.learnt_at = self.began
         self.turn = 0
         self.elsewhere = 0
+        self.failed = False
         self.dirty = trio.Event()
         self.parting = False  # whether operations pass by `_submit`
         self.hear_list_below: Callable[..., None] = self.dispatch.hear_list
@@ -111,7 +112,7 @@
         else:
             self.age = trust.age(kept, self.wall(), self.steady(), self.boot())
             self._take(kept)
-        run = min((kept.run if kept else 0) + 1, MOST_RUN)
+        run = min((kept.run if kept else 0) + 1, evidence.MOST_NUMBER)
         known = tuple(kept.runs[: self.routers]) if kept else ()
         lately = tuple(kept.lately[: self.routers]) if kept and trust.belief("lately", self.age) else ()
         self.mind = evidence.begin(
@@ -372,11 +373,11 @@
             self.mind, number, now - self.began, echo,
             ready=self.service.course.phase is Phase.READY,
             wall=self.wall(),
-            list_rev=max(self.list_rev, 0),
+            list_rev=min(max(self.list_rev, 0), MOST_FIGURE),
             list_sum=self.list_sum,
             keeper=digest(self.keeper_run) if self.keeper_run else 0,
             store=digest(self.store.name) if self.store.name else 0,
-            revision=self.store.revision,
+            revision=min(self.store.revision, MOST_FIGURE),
             lost_ago=now - effects.lost_at if settled and effects.open(now) else -1.0,
         )
         self.service.peers.tell((number,), self.wire.write(told))
@@ -448,9 +449,24 @@
                 if restore is not None and part.name in self.former.parts:
                     restore(self.former.parts[part.name])
         while True:
-            self._look()
+            try:
+                self._look()
+            except Exception:
+                if not self.failed:  # once: it may fail at each look
+                    logger.exception("recovery failed: all is let in")
+                self.failed = True
+                self._give_way()
             await trio.sleep(LOOK)
 
+    def _give_way(self) -> None:
+        """A mistake here must not keep the router shut: as a start without recovery, but for repeats."""
+        self.opening.open, self.order.stage, self.old_list_until = True, Stage.OPEN, 0.0
+        waiting, self.held_back = self.held_back, []
+        for bulletin in waiting:
+            self.hear_list_below(bulletin, False)
+        if self.service.course.phase is Phase.RECOVERING:
+            self.service.course.enter(Phase.READY, len(self.dispatch.exchanges))
+
     def _look(self) -> None:
         before, now = self.mind, self.clock()
         uptime = now - self.began
--- a/gaugehinge/recovery/evidence.py
+++ b/gaugehinge/recovery/evidence.py
@@ -17,6 +17,7 @@
 from ..tenancy.lease import DRIFT
 
 LEAST_SLACK = 3.0  # seconds before our end from which a peer's start still counts as after it
+MOST_NUMBER = (1 << 32) - 1  # of runs and epochs, as messages carry them
 LATE = 10.0  # times the bound: what began anew later than that did so for reasons of its own
 
 
@@ -143,7 +144,8 @@
     if fresh:
         if told.you_run > mind.run:
             # It knows a later run of ours than our files did: they were old, and prove nothing.
-            mind = mind._replace(run=told.you_run + 1, before=(-1,) * len(mind.before))
+            run = min(told.you_run + 1, MOST_NUMBER)
+            mind = mind._replace(run=run, before=(-1,) * len(mind.before))
         mind = mind._replace(epoch=max(mind.epoch, told.epoch))
         mind = _decide(mind, uptime)
     return mind, None if fresh else (told.mark, told.uptime)
@@ -217,7 +219,7 @@
     epoch = mind.epoch
     if verdict in (Verdict.ALL, Verdict.MOST) and mind.verdict is not Verdict.MOST:
         # Each counts on from its own files, and takes what is higher from others: all come to one number.
-        epoch = max(epoch, mind.kept_epoch + 1)
+        epoch = max(epoch, min(mind.kept_epoch + 1, MOST_NUMBER))
     return mind._replace(verdict=verdict, decided_at=uptime, epoch=epoch)
 
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -88,6 +88,9 @@
     assert Wire(b"other" * 4).read(good) is None
     assert wire.read(good[:-1]) is None and wire.read(good[:1] + b"\x09" + good[2:]) is None
     assert wire.read(good[:40] + bytes([good[40] ^ 1]) + good[41:]) is None
+    most = evidence.MOST_NUMBER
+    greatest = Told(1, 2, most, most, 2**63, 5.0, you_run=most, epoch=most, list_rev=2**63 - 1)
+    assert wire.read(wire.write(greatest)) == greatest
     endless = wire.write(Told(1, 2, 3, 4, 5, float("inf")))
     assert wire.read(endless) is None
     assert wire.dropped == {"form": 2, "version": 1, "mark": 1}
@@ -570,6 +573,18 @@
         assert dispatch.router.peers[1][1] == (4.0,)
 
 
+@in_trio
+async def test_a_mistake_of_its_own_does_not_keep_the_router_shut(tmp_path):
+    played = Played(tmp_path, list_wait=60.0)
+    async with fleet(tmp_path, [Cache()], extend=played.extend) as made:
+        client = await made.client()
+        assert await client.ask("PING") == b"-ERR recovering\r\n"
+        made.service.dispatch.hear_list(told_list(made))
+        played.made.opening.share = None
+        await until(lambda: played.made.order.stage is Stage.OPEN)
+        assert await client.ask("PING") == b"+PONG\r\n" and (await client.get()).startswith(b"$")
+
+
 # ---------------------------------------------------------------- files
 
 FILE = """
