--- a/gaugehinge/placement/keeper.py
+++ b/gaugehinge/placement/keeper.py
@@ -150,6 +150,13 @@
         ledger = self.far if self.back else self.near
         return row.stage == Stage.CONFINED.value and ledger.settled(self.clock())
 
+    def grounds(self) -> set[frozenset[str]]:
+        """The zones of each `only` shard, now and after its move: whoever takes servers out leaves at least
+        one that is up in each of these sets."""
+        rows = [row for row, _ in list(self.desk.rows.values())]
+        told = [terms for row in rows for terms in (row.now, row.then) if terms and terms.only]
+        return {frozenset(zone for zones in terms.zones for zone in zones) for terms in told if terms.zones}
+
     # -- what it does by itself
 
     async def run(self) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -334,6 +334,7 @@
             made = await play.put("mine", ["eu"], prefixes=["eu/"], allowance=100)
             shown = await play.until("mine", "confined")
             assert shown["now"] == {"hold": "only", "regions": ["eu"], "zones": ["a"]}
+            assert play.part.grounds() == {frozenset("a")}
             assert {copy["server"] for copy in shown["copies"]} == {"c-1", "c-2", "c-4", "c-5"}
             play.forget()
             for router in (0, 1):
