--- a/gaugehinge/drains/router.py
+++ b/gaugehinge/drains/router.py
@@ -79,6 +79,7 @@
     name: str = NAME
     holding: Holding = field(init=False)
     stores: dict[str, Store] = field(default_factory=dict)  # by the list's names; `origin`
+    names: dict[str, str] = field(default_factory=dict)  # of stores, by the list's; emptied with them
     closing: float = FIRST_CLOSING
     turn: int = 0
     asked: float = 0.0
@@ -112,8 +113,13 @@
     # -- which store
 
     def store_name(self, place: Place) -> str:
-        origin = self.service.dispatch.router.origin
-        return ORIGIN if origin is not None and origin.ident == place.ident else place.uid
+        """The same for as long as a line to it counts: the origin leaves the list before its lines do."""
+        name = self.names.get(place.uid)
+        if name is None:
+            origin = self.service.dispatch.router.origin
+            name = ORIGIN if origin is not None and origin.ident == place.ident else place.uid
+            self.names[place.uid] = name
+        return name
 
     def _store(self, place: Place) -> Store:
         name = self.store_name(place)
@@ -252,6 +258,7 @@
                 self._serve(place)
             if place is None and not store.counted and not store.waiting:
                 del self.stores[name]
+                self.names = {uid: each for uid, each in self.names.items() if each != name}
 
     def _cut(self, name: str, count: int) -> None:
         pool = self.service.pool
