--- a/gaugehinge/cli/keep_command.py
+++ b/gaugehinge/cli/keep_command.py
@@ -25,6 +25,10 @@
     except BadFile as bad:
         raise BadInput(str(bad)) from None
     parts = []
+    if told.placement.on:
+        from ..placement.build import keeping as placing
+
+        parts.append(placing(told))
     if told.drains.on:
         from ..drains.keeper import keeping
 
--- a/gaugehinge/rehearsal/invented.py
+++ b/gaugehinge/rehearsal/invented.py
@@ -28,6 +28,7 @@
     OpEnded,
     Placed,
     Process,
+    Stall,
 )
 
 BOUNDS = Bounds(slack=0.5, drain=0.4, memory=3.0, limits={"origin": 12, "server-0": 6})
@@ -77,6 +78,7 @@
     power: float = -1.0
     stages: list[tuple[float, str, tuple[str, ...]]] = field(default_factory=list)  # of the shard
     drained: dict[str, float] = field(default_factory=dict)
+    busy: Span = field(default_factory=lambda: Span(-9.0, -9.0))  # when the machine had no time for the play
 
     def put(self, event: AnyEvent) -> None:
         """On record."""
@@ -138,6 +140,10 @@
             world.cut.setdefault((name, other), []).append(Span(at, until))
         else:
             _down(world, name, kind, at, until)
+    if draw.random() < 0.4:
+        at = draw.uniform(1.0, lasts)
+        world.busy = Span(at, at + 0.6)
+        world.put(Stall(at + 0.6, "play", 0.6))
     name = draw.choice(servers)
     world.drained[name] = draw.uniform(0.2, 0.7) * lasts
 
@@ -384,6 +390,9 @@
             over = stood.until + 0.01
             if over > at + WAIT + BOUNDS.slack:
                 outcome, over = "lost", at + WAIT + 1.0
+        whole = not world.during(world.down, router, at, at + 3.0)
+        if whole and outcome != "lost" and at < world.busy.since < over:
+            over = at + WAIT + BOUNDS.slack + 0.3
         gone = world.during(world.down, router, at, over)
         if gone is not None:
             outcome, over = "lost", max(gone.since, at)
@@ -419,10 +428,10 @@
             return "forfeited", ""  # whether its mark outlived the power loss is not known: no leg
         server = self._server(came, tenant, key) if not write or draw.random() < 0.3 else None
         if server is not None:
-            told = world.drained.get(server, 1e9) + int(router[-1]) * 0.02
+            told = world.drained.get(server, 1e9) + _number(router) * 0.02
             cold = came - self._started(server, came) < 0.5
             world.put(Leg(
-                came, server, server, ZONES[int(server[-1]) % 3], ident, SPACES[tenant] + key, write, mark,
+                came, server, server, _zone(server), ident, SPACES[tenant] + key, write, mark,
                 False, cold, came > told, told if came > told else 0.0,
             ))
         if world.during(world.down, "origin", came, came + 0.002):
@@ -445,7 +454,7 @@
             zones = world.placed(at)[1]
         fit = [
             name for n in range(world.servers)
-            if ZONES[n % 3] in zones and not world.during(world.down, name := f"server-{n}", at, at)
+            if _zone(name := f"server-{n}") in zones and not world.during(world.down, name, at, at)
             and at < world.drained.get(name, 1e9) + BOUNDS.drain * 0.9
         ]
         return self.draw.choice(fit) if fit else None
@@ -455,6 +464,14 @@
         return max(spans, default=-9.0)
 
 
+def _number(name: str) -> int:
+    return int(name.partition("-")[2])
+
+
+def _zone(server: str) -> str:
+    return ZONES[_number(server) % len(ZONES)]
+
+
 def _connections(world: World) -> None:
     """Each limited store's own count, up and down within its limit."""
     draw = world.draw
