--- a/gaugehinge/drains/keeper.py
+++ b/gaugehinge/drains/keeper.py
@@ -399,6 +399,7 @@
                 floors = self.grants.floors
                 return all(free[name] >= count * figure(floors, name) for name in limits)
 
+            self.rolls.last_of_shard = self._last_of_shard(facts["servers"])
             due = self.rolls.plan([roll for _, roll in rolls.values()], steps, facts, now, wall, overlaps)
             log.extend(due.log)
             wanted = self.write(store, rolls, revisions, due.rolls, due.steps, due.drain, due.restore)
@@ -495,6 +496,28 @@
     def _region(self, zone: str) -> str:
         return self.regions.get(zone, zone)
 
+    def _last_of_shard(self, servers: dict[str, Fact]) -> Callable[[str, frozenset[str]], bool]:
+        """Whether a server is the last that is up for some shard pinned with `only`, others being out."""
+        placement = next((part for part in self.administration.parts if part.name == "placement"), None)
+        rows = placement.desk.rows.values() if placement is not None else ()
+        pinned = {
+            frozenset(zone for region in terms.zones for zone in region)
+            for row, _ in rows for terms in (row.now, row.then) if terms and terms.only
+        }
+
+        def last(name: str, out: frozenset[str]) -> bool:
+            if name not in servers:
+                return False  # a router
+            return any(
+                servers[name].zone in zones and not any(
+                    fact.up and not fact.drains and fact.zone in zones and uid not in out
+                    for uid, fact in servers.items() if uid != name
+                )
+                for zones in pinned
+            )
+
+        return last
+
     def _listed(self, seen: Seen) -> bool:
         return seen.at >= self.servers_at
 
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -38,6 +38,7 @@
 from gaugehinge.net.bulletin import Bulletin, Target
 from gaugehinge.net.deadlines import Clock, Deadlines
 from gaugehinge.net.pool import Cargo, Pool, RespDialect
+from gaugehinge.placement.shards import Terms
 from gaugehinge.rehearsal.drainsplay import woken
 from gaugehinge.rehearsal.hostedplay import CHEAP
 from gaugehinge.rehearsal.plays import run_many
@@ -690,6 +691,13 @@
             await report(all_, "r", 1, servers=servers)
             made = await all_.desk.post("/v1/rolls", json={"who": {"all": True}, "kind": "servers"})
             assert made.json()["nodes"] == 2
+            # One of the two is the last of a shard's zones once the other is out, whoever took it out.
+            rows = {"x": (SimpleNamespace(now=Terms(True, ("r",), (("a",),)), then=None), 1)}
+            all_.admin.parts.append(SimpleNamespace(name="placement", desk=SimpleNamespace(rows=rows)))
+            facts = all_.part.facts(all_.admin.keeper.store, 1e9)["servers"]
+            last = all_.part._last_of_shard(facts)
+            assert last("s-1", frozenset({"s-1", "s-2"})) and not last("s-1", frozenset({"s-1"}))
+            all_.admin.parts.pop()
 
     run(scene)
 
