A store that another process holds is waited for at the start, and never called damaged

Whoever opens a file that a killed process left behind locks all of it; nothing was wrong with it, and an operator would have restored an older one. The start waits 15 s and then says that the file is in use.

--- a/gaugehinge/store/store.py
+++ b/gaugehinge/store/store.py
@@ -9,6 +9,7 @@
 
 import shutil
 import sqlite3
+import time
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager, suppress
 from dataclasses import dataclass
@@ -23,6 +24,7 @@
 FIRST = b"\0" * 16  # in place of the digest before the first row
 ANSWER_KEEP = 24 * 3600.0  # seconds that an answer to a call with a key is kept
 BUSY_TIME = 2.0  # seconds that another connection's lock is waited for
+OPEN_TIME = 15.0  # the same at the start: whoever copies a file that was just left behind locks all of it
 MOST_BODY = 256 * 1024  # bytes of one thing
 
 
@@ -30,6 +32,10 @@
     """The file cannot be used as it is; the text says what is lost and what is the newest good snapshot."""
 
 
+class InUse(Damaged):
+    """Another process holds the file. Nothing is known to be wrong with it, and nothing is to be restored."""
+
+
 class Conflict(Exception):
     """The thing is not at the revision that the change was made for."""
 
@@ -82,16 +88,24 @@
     """One file. Not for several threads at a time; several processes may read while one writes."""
 
     def __init__(self, path: str | Path, read_only: bool = False) -> None:
-        """Open, and bring to this version. Raises Damaged."""
+        """Open, and bring to this version; a file that is in use is waited for. Raises Damaged, InUse."""
         self.path = Path(path)
         uri = f"{self.path.absolute().as_uri()}?mode={'ro' if read_only else 'rwc'}"
-        try:
-            self.db = sqlite3.connect(
-                uri, uri=True, timeout=BUSY_TIME, isolation_level=None, check_same_thread=False
-            )
-            self._open(read_only)
-        except sqlite3.DatabaseError as bad:
-            raise Damaged(self._lost(str(bad))) from None
+        end = time.monotonic() + OPEN_TIME
+        while True:
+            try:
+                self.db = sqlite3.connect(
+                    uri, uri=True, timeout=BUSY_TIME, isolation_level=None, check_same_thread=False
+                )
+                self._open(read_only)
+                return
+            except sqlite3.DatabaseError as bad:
+                if not _is_busy(bad):
+                    raise Damaged(self._lost(str(bad))) from None
+                if time.monotonic() > end:
+                    raise InUse(f"{self.path}: in use by another process ({bad})") from None
+            self.db.close()
+            time.sleep(BUSY_TIME / 40)
 
     def _open(self, read_only: bool) -> None:
         db = self.db
@@ -292,6 +306,8 @@
                 raise Damaged(self._lost("; ".join(told)))
             self._verify_log()
         except sqlite3.DatabaseError as bad:
+            if _is_busy(bad):
+                raise InUse(f"{self.path}: in use by another process ({bad})") from None
             raise Damaged(self._lost(str(bad))) from None
 
     def _verify_log(self) -> None:
@@ -339,6 +355,10 @@
         return rev
 
 
+def _is_busy(bad: sqlite3.DatabaseError) -> bool:
+    return getattr(bad, "sqlite_errorcode", 0) & 0xFF in (sqlite3.SQLITE_BUSY, sqlite3.SQLITE_LOCKED)
+
+
 def _is_full(bad: sqlite3.OperationalError) -> bool:
     return getattr(bad, "sqlite_errorcode", 0) & 0xFF in (sqlite3.SQLITE_FULL, sqlite3.SQLITE_IOERR)
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -4,6 +4,8 @@
 import random
 import shutil
 import sqlite3
+import threading
+from contextlib import closing
 from pathlib import Path
 
 import pytest
@@ -15,8 +17,19 @@
 
 from gaugehinge.cli.main import main
 from gaugehinge.store import schema
+from gaugehinge.store import store as of_store
 from gaugehinge.store.keeper import MOST_WAITING, Overloaded, StoreKeeper
-from gaugehinge.store.store import Conflict, Damaged, Full, Store, Wanted, encode, newest_snapshot, restore
+from gaugehinge.store.store import (
+    Conflict,
+    Damaged,
+    Full,
+    InUse,
+    Store,
+    Wanted,
+    encode,
+    newest_snapshot,
+    restore,
+)
 from gaugehinge.store.trial import kill_once
 
 
@@ -124,6 +137,27 @@
         Store(path)
 
 
+def test_a_file_that_another_process_holds_is_waited_for_and_never_called_damaged(tmp_path, monkeypatch):
+    path = tmp_path / "store.db"
+    with closing(Store(path)) as store:
+        store.apply([Wanted("thing", "a", b"1", 0)], "ann", 1.0)
+    monkeypatch.setattr(of_store, "BUSY_TIME", 0.05)
+    with closing(sqlite3.connect(path, isolation_level=None, check_same_thread=False)) as other:
+        other.execute("PRAGMA locking_mode=EXCLUSIVE")
+        other.execute("BEGIN EXCLUSIVE")
+        monkeypatch.setattr(of_store, "OPEN_TIME", 0.2)
+        with pytest.raises(InUse, match="in use by another process") as told:
+            Store(path).verify()
+        assert "damaged" not in str(told.value)
+        monkeypatch.setattr(of_store, "OPEN_TIME", 60.0)
+        timer = threading.Timer(0.5, other.close)
+        timer.start()
+        with closing(Store(path)) as store:
+            store.verify()
+            assert store.get("thing", "a").body == b"1"
+        timer.join()
+
+
 def test_files_of_other_versions_and_programs(tmp_path):
     path = tmp_path / "s.db"
     old = sqlite3.connect(path)
