--- a/gaugehinge/rehearsal/allplay.py
+++ b/gaugehinge/rehearsal/allplay.py
@@ -27,7 +27,7 @@
 
 CASES = (
     "plain", "zone", "again", "router older", "router torn", "discovery last", "keeper last", "keeper older",
-    "surge", "one hangs",
+    "surge", "router last",
 )
 TENANTS = ("acme", "bolt", "coda")
 LEASE, WORK = 3.0, 0.004  # seconds; of a hit: the origin takes ten times as long
@@ -264,7 +264,7 @@
             await trio.sleep(0.3)
         if case == "surge":
             all_.load(2.0 * self.cast.rate, 3.0, wait=1.5, tries=4, mix=placementplay.MIX, keys=50)
-        last = {"discovery last": "discovery", "keeper last": "keeper", "one hangs": one}.get(case, "")
+        last = {"discovery last": "discovery", "keeper last": "keeper", "router last": one}.get(case, "")
         files = {}
         if case == "router older":
             files[one] = "older"
