An own zone without caches is no zone to start a walk in

Cause: where crossings and new connections have a price, rings began with the own zone's also when that had no cache, and Router._start took the least of nothing: each operation was forfeited by the exception.

Change: without a cache of the own zone the walk has one ring. A start past the ring's end counts from its beginning.

Measured: the new test fails on the build before with ValueError.

--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -510,7 +510,7 @@
         place = bisect_left(points, key)
         found: dict[Cache, int] = {}
         for i in range(place - len(points), place):
-            found.setdefault(self.owners[points[i]], i + len(points))
+            found.setdefault(self.owners[points[i]], i % len(points))
             if len(found) >= self.starts:
                 break
         draw = (((key ^ self.salt) * MIX) & MASK) >> 32  # the same ones for this key at this router
@@ -861,7 +861,7 @@
         self.rings = [self.points]
         if self.deployment.cross_price >= NEAR_PRICE:
             own = [p for p in self.points if self.owners[p].zone == self.deployment.zone]
-            self.rings = [own, self.points]
+            self.rings = [own, self.points] if own else [self.points]
         self.moved.clear()
         self._choose_ready()
         self._fade(now, 0.0)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -781,6 +781,12 @@
     return bench
 
 
+def test_an_own_zone_without_a_cache_is_no_zone_to_start_in():
+    bench = zoned(one_a_line=True, line_price=0.1)
+    bench.hear([row(i, zone="b") for i in range(1, 9, 2)] + [origin_row()])
+    assert bench.ask()[1].leg.server.zone == "b"
+
+
 def test_where_crossing_is_dear_the_walk_starts_in_the_own_zone_and_goes_on_beyond_it():
     bench = zoned()
     assert all(home % 2 == 0 for home in homes(bench, 60).values())
