--- a/gaugehinge/rehearsal/placementplay.py
+++ b/gaugehinge/rehearsal/placementplay.py
@@ -109,9 +109,10 @@
 
     async def begin(self, names: Sequence[str]) -> None:
         """Pin all its shards, and wait until that is so."""
+        there = sorted(self.all.plan.keep["placement"]["regions"])
         async with self.all.api(party=f"begins-{self.name}") as desk:
             for number, name in enumerate(names):
-                region = sorted(ZONES)[number % len(ZONES)]
+                region = there[number % len(there)]
                 body = {"regions": [region], "prefixes": [f"{name}/"], "allowance": 1}
                 with suppress(httpx.HTTPError):
                     await desk.put(f"{self.path}/{name}", json=body)
