--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -6,10 +6,10 @@
 from math import sqrt
 
 import pytest
-from helper import SETTINGS, row
 
 from gaugehinge.charter import charter
 from gaugehinge.policy import Router
+from tests.helper import SETTINGS, row
 
 CACHES, STEP, COLD = 20, 0.1, 999
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,7 +8,6 @@
 import pytest
 import trio
 import trio.testing
-from helper import SETTINGS, fleet
 
 from gaugehinge.charter import charter
 from gaugehinge.net import discovery as module
@@ -16,6 +15,7 @@
 from gaugehinge.net.deadlines import Deadlines
 from gaugehinge.net.discovery import MOST_AGAIN, NEAR_PAUSE, Discovery
 from gaugehinge.net.phase import Phase
+from tests.helper import SETTINGS, fleet
 
 TOLD_AFTER, TOLD_BEHIND_WAIT = 6.0, 2.0  # the operators' clock for silence
 
