A known fault is looked for until it is found

Seen: in a run of the whole suite test_a_known_fault_is_found[_may_repeat] found nothing in 300 examples; alone it did. Cause: the steps are drawn on constants of whatever modules are loaded. Change: up to 6,000 examples, ended by the first break.

--- a/tests/test_cluster_model.py
+++ b/tests/test_cluster_model.py
@@ -328,10 +328,10 @@
     if name == "_may_repeat":
         monkeypatch.setattr(Router, "_drops_repeats", lambda router, cache, operation: True)
     with pytest.raises(AssertionError):
-        # Found is enough: shrinking what was found takes minutes.
-        run_state_machine_as_test(
-            Morning, settings=settings(Morning.TestCase.settings, phases=[Phase.generate], print_blob=False)
-        )
+        # Found is enough: shrinking what was found takes minutes. And it ends there: with other modules loaded
+        # the steps are others, and 300 examples of them once lacked a fault.
+        found = settings(Morning.TestCase.settings, max_examples=6000, phases=[Phase.generate])
+        run_state_machine_as_test(Morning, settings=settings(found, print_blob=False))
 
 
 # -- the keeper
