--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -737,7 +737,7 @@
 
         async def one_that_is_wrong():
             with trio.fail_after(280):
-                # On a busy machine it may sleep through what it would have taken too much of: then once more.
+                # On a busy machine it may sleep through what it would take too much of: then once more.
                 for seed in range(1, 5):
                     faulty.append(await woken(seed, tmp_path / f"faulty-{seed}", True))
                     if faulty[-1].breaks:
