--- a/gaugehinge/recovery/driver.py
+++ b/gaugehinge/recovery/driver.py
@@ -214,10 +214,11 @@
 
     def _tells(self, operation: Operation, reply: bytes) -> bool:
         """Whether what was not settled says that too much was let in: not while leases or grants are awaited,
-        and not where a shard's own region has no room."""
+        and not where a read finds no room in its shard's own region."""
         if not self._parts_ready():
             return False
-        return not (reply.startswith(b"-BUSY") and operation.regions and operation.regions[-1] is not None)
+        pinned = bool(operation.regions) and operation.regions[-1] is not None
+        return not (pinned and reply.startswith(b"-BUSY") and not (operation.write or operation.wants_origin))
 
     def _parts_ready(self) -> bool:
         """Whether all parts that go by the keeper's word have what they need of it."""
--- a/tests/test_parts_together.py
+++ b/tests/test_parts_together.py
@@ -18,6 +18,7 @@
 from gaugehinge.recovery.evidence import Verdict
 from gaugehinge.recovery.opening import Stage
 from gaugehinge.tenancy.feed import Feed, Report
+from gaugehinge.terms import Operation
 from tests.helper import SETTINGS, Cache, fleet
 
 KEY = b"k" * 16
@@ -109,3 +110,21 @@
         assert recovery._parts_ready()
 
     play(tmp_path, look, silent=True)
+
+
+def test_a_read_with_no_room_in_its_region_says_nothing_of_the_fleet_and_a_write_does(tmp_path):
+    async def look(made, all_):
+        await made.fed.wait()
+        made.placing.lease.renew(trio.current_time(), 60.0)
+        tells, kind = made.recovery._tells, all_.service.berth.charter.deployment.traffic_types[0]
+
+        def one(write, *regions):
+            return Operation(1, kind, b"k", -1, write, False, 0.0, 1.0, regions=regions)
+
+        pinned = (frozenset({"a"}),)
+        assert not tells(one(False, *pinned), b"-BUSY 200\r\n")
+        assert tells(one(False, *pinned), b"-ERR failed\r\n")
+        assert tells(one(True, *pinned), b"-BUSY 200\r\n")
+        assert tells(one(False, *pinned, None), b"-BUSY 200\r\n") and tells(one(False, None), b"-BUSY\r\n")
+
+    play(tmp_path, look)
