A router that has no list yet does not tell the keeper that there are no servers

A router that a roll had restarted holds discovery's list back while recovery decides; placement told its empty table as the newest list, and for some seconds no pin was taken. Test fails without it.

--- a/gaugehinge/placement/router.py
+++ b/gaugehinge/placement/router.py
@@ -61,6 +61,7 @@
         self.zones: dict[int, tuple[str, str, float]] = {}  # by the module's number: uid, zone, started
         self.slices: list[Slice] = []  # still to be told
         self.told_digest, self.told_list_at = "", 0.0
+        self.listed = False  # discovery was heard; before that there is no list to tell, not an empty one
         self.cut_off = False
         self.bounced = 0  # operations for want of a lease, since it was lost
         self._draws = count()
@@ -74,6 +75,7 @@
     def hear_list(self, bulletin: Bulletin, held: bool = False) -> None:
         """Follow the list. A server that stands in another zone than before without a start is neither's."""
         origin = self.service.berth.charter.deployment.origin_kind
+        self.listed = self.listed or not held
         if bulletin.whole:
             named = {target.uid for target in bulletin.targets}
             for uid in [uid for uid in self.servers if uid not in named]:
@@ -154,7 +156,7 @@
             self.follower.slack = min(self.follower.slack, max(lease / WAITS, LEAST_SLACK))
 
     def _list_to_tell(self, keepers: str) -> None:
-        if self.slices or len(self.servers) > MOST_SERVERS:
+        if not self.listed or self.slices or len(self.servers) > MOST_SERVERS:
             return
         servers = [told for _, told in sorted(self.servers.items())]
         digest = digest_of(servers)
--- a/tests/test_parts_together.py
+++ b/tests/test_parts_together.py
@@ -12,7 +12,7 @@
 from gaugehinge.installation.form import RecoveryEntry
 from gaugehinge.net.bulletin import read_bulletin
 from gaugehinge.net.phase import Phase
-from gaugehinge.placement.forms import KeeperTold
+from gaugehinge.placement.forms import KeeperTold, RouterTold
 from gaugehinge.placement.router import placing
 from gaugehinge.recovery.driver import Recovery
 from gaugehinge.recovery.evidence import Verdict
@@ -34,6 +34,7 @@
         self.waits: list[float] = []  # that each call for news asked for
         self.fed = trio.Event()
         self.silent = silent  # the keeper tells nothing
+        self.lists: list[list] = []  # of servers that the keeper was told
 
     def extend(self, service, nursery):
         client = httpx.AsyncClient(base_url="http://keeper", transport=httpx.MockTransport(self.keeper))
@@ -49,6 +50,8 @@
             await trio.sleep_forever()
         report = msgspec.json.decode(request.content, type=Report)
         self.waits.append(report.wait)
+        said = msgspec.json.decode(report.parts["placement"], type=RouterTold)
+        self.lists += [said.servers.servers] if said.servers is not None else []
         if len(self.waits) == 3:
             self.fed.set()
         await trio.sleep(min(report.wait, 0.05))
@@ -128,3 +131,15 @@
         assert tells(one(False, *pinned, None), b"-BUSY 200\r\n") and tells(one(False, None), b"-BUSY\r\n")
 
     play(tmp_path, look)
+
+
+def test_a_router_that_has_no_list_yet_does_not_tell_the_keeper_that_there_are_no_servers(tmp_path):
+    async def look(made, all_):
+        await made.fed.wait()  # its list is held back while it decides
+        assert made.lists == []
+        all_.service.dispatch.hear_list(read_bulletin({"rev": 2, "all": True, "targets": all_.targets}))
+        while not made.lists:
+            await trio.sleep(0.01)
+        assert len(made.lists[0]) == 1
+
+    play(tmp_path, look)
