--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -305,8 +305,10 @@
         async with httpx.AsyncClient(base_url=all_.api, headers=headers) as desk:
             play = Play(all_, secret, desk)
             with trio.fail_after(20):
-                while not play.part.servers.known or not all(f.parts[0].lease.good(trio.current_time())
-                                                             for f in all_.followers):
+                while not play.part.servers.known or not all(
+                    f.parts[0].lease.good(trio.current_time()) and f.roster.by_credential
+                    for f in all_.followers
+                ):
                     await trio.sleep(0.02)
             yield play
 
