What may have run is never sent on once its first try is forgotten, by whatever way

The window was asked only behind a failed leg (_next); a miss, a joined fetch that ended, a line and a redirection went straight on to _route. Operators may give a traffic type another effect and a shorter window. Change: _route asks, whatever way leads there; the time is kept with the operation (latest) and worked out from its traffic type. And calls to the list that failed pause for half of the time to ask within at most (times 0.5 to 1.5): with 5 s to ask within, a pause reached 6 s and a drain counted as told before it was asked for.

--- a/gaugehinge/charter.py
+++ b/gaugehinge/charter.py
@@ -172,6 +172,7 @@
         cross_price=prices.number("crossZone", 0.0),
         one_a_line=allowed.count("maxStreams", 2, least=1) == 1,
         line_price=prices.number("handshake", 0.0),
+        ask_within=rules.seconds("askWithinUs", 10_000_000),
     )
     return Charter(
         deployment,
--- a/gaugehinge/policy.py
+++ b/gaugehinge/policy.py
@@ -373,7 +373,7 @@
         operation.over = operation.over or over
         if not operation.over:
             if outcome.may_have_run and operation.ran_at is None:
-                operation.ran_at, operation.ran_since = cache, leg.sent
+                operation.ran_at, operation.latest = cache, leg.sent + operation.traffic.repeats
             steps.append((operation, self._next(operation, leg, outcome, now)))
         if cache.origin and not operation.write:
             self._end_fetch(operation, outcome is Outcome.SETTLED, steps, now)
@@ -412,7 +412,8 @@
         """A call to the list failed: the last list stays, and the call is made again later."""
         self.list_heard = False
         self.list_failures += 1
-        pause = ASK_AGAIN * min(2.0 ** (self.list_failures - 1), 4.0) * (0.5 + self._chance())
+        pause = min(ASK_AGAIN * 2.0 ** min(self.list_failures - 1, 2), 0.5 * self.deployment.ask_within)
+        pause *= 0.5 + self._chance()  # the longest and a call end before what is missed counts as told
         self.asking.due = now + pause
         if self.list_failures == 1:
             self.log.append(f"list call failed, again in {pause:.1f} s")
@@ -967,7 +968,9 @@
     # ---------------------------------------------------------------- routing, retries, the origin
 
     def _route(self, operation: Operation, now: float) -> Answer:
-        if now >= operation.useful or len(operation.legs) - operation.redirects >= self.deployment.most_legs:
+        # Asked only behind a failed leg, a miss or a joined fetch sent on what was no longer remembered.
+        spent = len(operation.legs) - operation.redirects >= self.deployment.most_legs
+        if spent or now >= operation.useful or not self._may_repeat(operation, now):
             return self._give_up(operation)
         if self.deployment.aside and (operation.wants_origin or operation.write):
             return self._ask_origin(operation, now)
@@ -1033,11 +1036,10 @@
             full = outcome in (Outcome.TURNED_AWAY, Outcome.TIMED_OUT) and not operation.write
             if full or now + self.gate.smooth > operation.useful:
                 return self._give_up(operation)
-        if operation.ran_at is not None and not self._may_repeat(operation, now):
-            return self._give_up(operation)
         usual = self.work[operation.traffic.row] or self.mean_delay
-        if now + usual > operation.useful or operation.turned >= MOST_TURNED:
-            return self._give_up(operation)  # another leg would not end in time
+        late = now + usual > operation.useful  # another leg would not end in time
+        if late or operation.turned >= MOST_TURNED or not self._may_repeat(operation, now):
+            return self._give_up(operation)
         # A silent cache that others do not share runs nothing of it: a repeat elsewhere adds no load.
         if outcome is Outcome.TIMED_OUT and not (leg.server.answered_at <= leg.sent and self.excused >= 1.0):
             if self.repeats < 1.0:
@@ -1047,9 +1049,7 @@
 
     def _may_repeat(self, operation: Operation, now: float) -> bool:
         # The repeat must arrive while the first is remembered: the margin is its way there.
-        traffic = operation.traffic
-        remembered = now + 0.5 < operation.ran_since + traffic.memory
-        return traffic.effect is Effect.IDEMPOTENT or (traffic.effect is Effect.DEDUPLICATED and remembered)
+        return now + 0.5 < operation.latest
 
     def _ask_origin(self, operation: Operation, now: float) -> Answer:
         """A place at the origin now, or none."""
--- a/gaugehinge/terms.py
+++ b/gaugehinge/terms.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum, auto
+from math import inf
 from typing import NamedTuple
 
 
@@ -87,6 +88,13 @@
     payoff: float
     late_payoff: float  # portion of the payoff for an answer after the promised time
 
+    @property
+    def repeats(self) -> float:
+        """For how long after its first leg that may have run an operation may be sent again, in seconds."""
+        if self.effect is Effect.DEDUPLICATED:
+            return self.memory
+        return inf if self.effect is Effect.IDEMPOTENT else 0.0
+
 
 @dataclass(slots=True, frozen=True)
 class Tenant:
@@ -124,6 +132,7 @@
     cross_price: float = 0.0  # of a leg to another zone, in payoffs
     one_a_line: bool = False  # a connection carries one leg at a time
     line_price: float = 0.0  # of a new connection
+    ask_within: float = 10.0  # a router that did not ask for so long counts as told what it missed
 
 
 class Listing(NamedTuple):
@@ -167,7 +176,7 @@
     redirects: int = 0  # legs that told it another server
     asking: bool = False  # its next leg was sent there for this once
     ran_at: object = None  # the server at which it may have run first
-    ran_since: float = 0.0
+    latest: float = inf  # for a leg's last byte: after it what may have run before is not remembered
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -2,6 +2,7 @@
 
 import struct
 
+import pytest
 from helper import (
     MARKED,
     ONCE,
@@ -93,7 +94,7 @@
 
 def test_a_miss_goes_to_the_origin_and_a_second_one_waits_for_that_fetch():
     bench = Bench()
-    one, first = bench.ask("k")
+    _, first = bench.ask("k")
     two, second = bench.ask("k")
     to_origin = bench.end(first.leg, Outcome.MISSED)[0][1]
     assert to_origin.leg.server.ident == ORIGIN
@@ -137,6 +138,30 @@
     assert step.verdict is Verdict.BOUNCE and operation.over
 
 
+@pytest.mark.parametrize("by", ["a miss", "a joined fetch"])
+def test_a_deduplicated_read_that_may_have_run_goes_nowhere_once_that_is_forgotten(by):
+    bench = Bench()
+    _, first = bench.ask("k")
+    read = Operation("r", MARKED, b"k", -1, False, False, bench.now, bench.now + 30.0)
+    leg = bench.router.where(read, bench.now).leg
+    bench.end(leg, Outcome.ERRORED)
+    if by == "a miss":
+        bench.now += MARKED.memory
+        assert bench.end(read.legs[-1], Outcome.MISSED)[0][1].verdict is Verdict.BOUNCE
+        return
+    to_origin = bench.end(first.leg, Outcome.MISSED)[0][1]
+    assert bench.end(read.legs[-1], Outcome.MISSED)[0][1].verdict is Verdict.WAIT
+    steps = bench.end(to_origin.leg, Outcome.SETTLED, MARKED.memory)
+    assert [(o, a.verdict) for o, a in steps] == [(read, Verdict.BOUNCE)]
+
+
+def test_the_list_is_asked_for_again_before_what_is_missed_counts_as_told():
+    bench = Bench(must_ask=True, ask_within=5.0)
+    for _ in range(200):
+        bench.router.list_failed(bench.now)
+        assert 0.3 < bench.router.asking.due - bench.now < 0.8 * 5.0
+
+
 def test_a_draining_cache_gets_nothing_more_not_even_a_further_leg():
     bench = Bench(caches=2)
     _, answer = bench.ask("k")
