--- a/gaugehinge/net/clients.py
+++ b/gaugehinge/net/clients.py
@@ -22,7 +22,7 @@
 from .pool import Cargo
 from .resp import ARRAY, BULK, Malformed, Message, Parser
 from .slots import Slots
-from .sockets import receive, send_all, send_some, shut, silent
+from .sockets import hung_up, receive, send_all, send_some, shut, silent
 
 MOST_PIPELINED = 32  # commands of one connection in hand; then it is not read on
 MOST_WAIT = 3600.0  # a longer `d` is taken for this
@@ -130,6 +130,7 @@
     asking: bool = False  # nor is it while it is asked who comes there
     check: Due | None = None  # when it is looked at again, over the limit
     last: bool = False  # no further command is read; it ends when all is answered
+    parting: bool = False  # and at once, with nothing more read
     drained: int = 0  # bytes that came after that
     quiet_since: float = 0.0
     began: float = 0.0  # when the first byte came of what the parser holds
@@ -260,6 +261,8 @@
         now = self.clock()
         leaving = self.course.phase is Phase.LEAVING  # then clients get no new one for one that ends
         for client in self.connections:
+            if client.paused and hung_up(client.raw):
+                self._stop(client)
             if client.tickets or client.last:
                 continue
             if len(client.parser):
@@ -355,7 +358,14 @@
         client.since = 0.0
 
     def resume(self, client: Client) -> None:
-        """Take the commands that stand whole, until too many are in hand."""
+        """Take the commands that stand whole, until too many are in hand.
+
+        Some send hundreds at once and go: their end stands behind bytes that are not read yet, and the rest
+        was sent on for nobody, as fast as what went before it ended.
+        """
+        if client.paused and hung_up(client.raw):
+            self._stop(client)
+            return
         client.paused = False
         try:
             while not client.last:
@@ -511,7 +521,9 @@
             self._written(client)
         if client.tickets:
             return
-        if client.last:
+        if client.parting and self.reader is None:
+            self._cut(client)
+        elif client.last:
             _no_more(client)
             self.dispatch.deadlines.at(self.clock() + LINGER, self._stop, client)
         else:
@@ -521,12 +533,14 @@
         """Write an answer at once, as far as it goes.
 
         While closing, one that is the last thing in its connection ends that in the same step: a busy client
-        is never found idle, and all that it sends after that would be lost with the process.
+        is never found idle, and all that it sends after that would be lost with the process. What crosses
+        that end must not be read, not even to throw it away: a client may send again what nobody read.
         """
-        parting = self.course.phase is Phase.CLOSING and len(client.tickets) == 1
+        parting = self.course.phase is Phase.CLOSING and len(client.tickets) == 1 and not client.last
         parting = parting and not len(client.parser) and silent(client.raw)
         sent = send_some(client.raw, answer)
-        client.last = client.last or (parting and sent == len(answer))
+        client.parting = parting and sent == len(answer)
+        client.last = client.last or client.parting
         return sent
 
     def _written(self, client: Client) -> None:
--- a/gaugehinge/net/pool.py
+++ b/gaugehinge/net/pool.py
@@ -19,11 +19,12 @@
 from .bulletin import Bulletin
 from .deadlines import Deadlines, Due
 from .resp import ARRAY, BULK, ERROR, MOST_ANSWER, Malformed, Message, Parser
-from .sockets import connect, receive, send_all, send_some, shut, silent, tcp
+from .sockets import connect, receive, send_some, shut, silent, tcp
 
 IDLE_PART = 0.7  # of the time after which a server closes an idle line: one written to then may be lost
 REST_TIME = 0.01  # an answered line is not used before this: its end or a second copy may follow the answer.
 # Second copies were seen 2.7 to 3.8 ms behind the first: used after 3 ms, a line gave one to the next leg.
+WAY = 0.05  # of a leg's last byte to its server, kept before the time by which it has to be there
 SWEEP_EVERY = 0.5
 ANSWER_PARTS = 3  # the value, how it went, the load report
 
@@ -266,8 +267,7 @@
         """Write a leg on a line that is up."""
         leg = travel.leg
         # The list may have changed while the connection came up: a drain is kept from the first byte.
-        forbidden = leg.operation.over or leg.server.presence is not Presence.UP
-        if forbidden or (self.guard is not None and not self.guard(leg)):
+        if leg.operation.over or leg.server.presence is not Presence.UP or not self._may_go(leg):
             self._rest(line)
             self._end_soon(travel, Outcome.NEVER_SENT)
             return
@@ -283,35 +283,36 @@
             return
         line.written = sent == len(data)
         if not line.written:
-            self.nursery.start_soon(self._push, line, data[sent:])
+            self.nursery.start_soon(self._push, line, travel, data[sent:])
 
-    async def _push(self, line: Line, rest: bytes) -> None:
+    def _may_go(self, leg: Leg) -> bool:
+        """Whether the next byte of a leg may go out: with the last one its server acts.
+
+        A connection that came up late, or a server that read slowly, held a repeat up until its first try
+        was forgotten: it took effect a second time.
+        """
+        if self.clock() > leg.operation.latest - WAY:
+            return False
+        return self.guard is None or self.guard(leg)
+
+    async def _push(self, line: Line, travel: Travel, rest: bytes) -> None:
         """Write what did not go at once. A line that breaks is noticed by its reader."""
         try:
-            if self.guard is None:
-                await send_all(line.raw, rest)
-            elif not await self._push_guarded(line, rest):
-                return
+            while rest:
+                await trio.lowlevel.wait_writable(line.raw)
+                if line.travel is not travel:
+                    return
+                if not self._may_go(travel.leg):
+                    self._abandon(travel)
+                    self._end_soon(travel, Outcome.NEVER_SENT)
+                    return
+                rest = rest[send_some(line.raw, rest):]
             line.written = True
         except (OSError, trio.ClosedResourceError):
             pass
         except Exception:  # a defect forfeits this leg alone
             logger.exception("a line to {} could not be written", line.place.uid)
 
-    async def _push_guarded(self, line: Line, rest: bytes) -> bool:
-        """The same where a guard may forbid the last byte: with that its server acts."""
-        travel = line.travel
-        while rest:
-            await trio.lowlevel.wait_writable(line.raw)
-            if travel is None or line.travel is not travel:
-                return False
-            if not self.guard(travel.leg):
-                self._abandon(travel)
-                self._end_soon(travel, Outcome.NEVER_SENT)
-                return False
-            rest = rest[send_some(line.raw, rest):]
-        return True
-
     def _end_soon(self, travel: Travel, outcome: Outcome) -> None:
         """Not from within the call that started or gave up the leg: its caller is not done with it."""
         self.deadlines.drop(travel.time_out)
--- a/gaugehinge/net/sockets.py
+++ b/gaugehinge/net/sockets.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 
 import trio
@@ -76,6 +77,13 @@
         raw.close()
 
 
+def hung_up(raw: socket.socket) -> bool:
+    """Whether the other side ended the connection, though bytes of it may still stand there unread."""
+    look = select.poll()
+    look.register(raw, select.POLLRDHUP)
+    return bool(look.poll(0))
+
+
 def silent(raw: socket.socket) -> bool:
     """Whether the connection is up with nothing to read, as an idle one must be."""
     try:
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 from contextlib import asynccontextmanager
+from math import inf
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -432,7 +433,7 @@
         server = SimpleNamespace(ident=1, origin=False, presence=Presence.UP)
 
         def send(time_out=5.0):
-            leg = Leg(SimpleNamespace(over=False), server, 0, clock())
+            leg = Leg(SimpleNamespace(over=False, latest=inf), server, 0, clock())
             cargo = Cargo(b"i", b"k", (b"d=", b""), b"", b"*4\r\n$6\r\nKV.GET\r\n", b"", None)
             pool.send(leg, cargo, time_out, RespDialect())
             return leg
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import struct
+from contextlib import suppress
 from functools import partial
 
 import children
@@ -25,7 +26,7 @@
 from gaugehinge.net.resp import MOST_ANSWER, bulk
 from gaugehinge.policy import Router
 from gaugehinge.terms import Leg, Listing, Operation, Outcome, Presence
-from tests.helper import FAILURES, SETTINGS, Bench, Cache, Web, fleet, free_port
+from tests.helper import FAILURES, MARKED, SETTINGS, Bench, Cache, Web, fleet, free_port
 
 GONE_WRONG = (b"-BUSY", b"-ERR failed\r\n")
 
@@ -114,14 +115,14 @@
 
 
 def test_a_command_that_could_not_be_written_whole_never_ran(tmp_path, monkeypatch):
-    async def nothing_more(raw, data):
+    async def nothing_more(*given):
         await trio.sleep_forever()
 
     async def scene():
         async with fleet(tmp_path) as made:
             client = await made.client()
             monkeypatch.setattr(pool, "send_some", lambda raw, data: sockets.send_some(raw, data[:3]))
-            monkeypatch.setattr(pool, "send_all", nothing_more)
+            monkeypatch.setattr(Pool, "_push", nothing_more)
             assert (await client.put(labels="c=once,d=500")).startswith(b"-BUSY") and made.origin.seen == []
 
     run(scene)
@@ -261,6 +262,49 @@
     run(scene)
 
 
+def test_of_a_client_that_sends_much_and_goes_nothing_more_is_sent_on(tmp_path, reading):
+    async def scene():
+        async with fleet(tmp_path, [Cache("late") for _ in range(3)]) as made:
+            client, other = await made.client(), await made.client()
+            for n in range(200):
+                await client.send("KV.GET", f"k{n}", f"i{n}", "c=read,d=30000")
+            while not any(cache.commands for cache in made.caches):
+                await trio.sleep(0.01)
+            await client.stream.aclose()
+            while len(made.service.clients.connections) > 1:
+                await trio.sleep(0.01)
+            assert (await other.get("mine")).startswith(b"$")
+            asked = {command[1] for cache in made.caches for command in cache.commands}
+            assert len(asked - {b"mine"}) <= clients.MOST_PIPELINED and not made.service.dispatch.pool.travels
+
+    run(scene)
+
+
+def test_what_crosses_the_end_of_a_connection_is_not_read(tmp_path, monkeypatch):
+    async def scene():
+        async with fleet(tmp_path, [Cache("late")]) as made:
+            client = await made.client()
+            await client.send("KV.GET", "k1", "i1", "c=read,d=4000")
+            while not made.caches[0].commands:
+                await trio.sleep(0.01)
+            made.service.course.enter(Phase.CLOSING, 1)
+            taken = []
+            monkeypatch.setattr(made.service.clients, "take", lambda client, data: taken.append(data))
+            send = clients.send_some
+
+            def crossed(raw, data):
+                sent = send(raw, data)
+                client.stream.socket._sock.send(b"*1\r\n$4\r\nPING\r\n")  # in the very moment
+                return sent
+
+            monkeypatch.setattr(clients, "send_some", crossed)
+            assert await client.answer() == b"$5\r\nof k1\r\n" and await client.answer() is None
+            await trio.sleep(0.1)
+            assert taken == [] and len(made.service.clients.connections) == 0
+
+    run(scene)
+
+
 def test_a_late_answer_never_reaches_the_next_operation(tmp_path):
     async def scene():
         async with fleet(tmp_path, [Cache(lambda command: "late" if command[1] == b"k1" else "hit")]) as made:
@@ -332,6 +376,39 @@
     run(scene)
 
 
+@pytest.mark.parametrize("slow", ["connection", "server"])
+def test_a_repeat_held_up_until_its_first_try_is_forgotten_is_not_sent(slow):
+    async def scene():
+        bench, ended, got = Bench(1), [], []
+
+        async def serve(stream):
+            await trio.sleep(0.6 if slow == "server" else 0.0)
+            with suppress(trio.BrokenResourceError):
+                while data := await stream.receive_some(1 << 20):
+                    got.append(len(data))
+
+        async with trio.open_nursery() as nursery:
+            [listener] = await nursery.start(partial(trio.serve_tcp, serve, 0, host="127.0.0.1"))
+            deadlines = Deadlines(Clock())
+            nursery.start_soon(deadlines.run)
+            made = Pool(nursery, deadlines, 5, 1.0, 10.0, lambda *told: ended.append(told))
+            operation, answer = bench.ask(traffic=MARKED)
+            operation.latest = deadlines.clock() + (0.3 if slow == "server" else pool.WAY / 2)
+            server = answer.leg.server.ident
+            made.places[server] = Place(server, "s", listener.socket.getsockname(), 0.0)
+            size = 64 << 20 if slow == "server" else 1
+            cargo = Cargo(b"i", b"k", (b"d=", b""), b"d=1", b"x" * size, b"", None)
+            made.send(answer.leg, cargo, 5.0, RespDialect())
+            while not ended:
+                await trio.sleep(0.01)
+            assert ended[0][:2] == (answer.leg, Outcome.NEVER_SENT) and made.lines == (slow == "connection")
+            await trio.sleep(0.1)
+            assert sum(got) < size
+            nursery.cancel_scope.cancel()
+
+    run(scene)
+
+
 def test_a_leg_called_off_before_its_bytes_went_out_was_never_sent():
     async def scene():
         bench, ended = Bench(1), []
