What never went out when a router ends is bounced with a time, not forfeited

Change: -BUSY with half a second (at most the longest time to come back) where no leg is out and none may have run. Measured: a test that fails without it.

--- a/gaugehinge/net/dispatch.py
+++ b/gaugehinge/net/dispatch.py
@@ -18,6 +18,7 @@
 
 FAILED = b"-ERR failed\r\n"
 BUSY = b"-BUSY\r\n"
+SUCCESSOR = 0.5  # by then a router that ends has a successor
 GRACE = 0.005  # after the abandon time, which the module keeps by itself, and still before the client's own
 
 
@@ -145,10 +146,16 @@
             self._give_up(exchange)
 
     def forfeit_rest(self) -> None:
-        """The router ends, and all in hand is answered before: what is out may have run."""
+        """The router ends, and all in hand is answered before: what is out may have run.
+
+        What never went out may be tried again elsewhere: failed, its client would not know that, nor when.
+        """
+        away = min(SUCCESSOR, self.router.deployment.longest_come_back)
         for exchange in self.exchanges:
             if not exchange.answered:
-                self._answer(exchange, FAILED)
+                operation = exchange.operation
+                ran = operation.ran_at is not None or any(leg.out for leg in operation.legs)
+                self._answer(exchange, FAILED if ran else busy(away))
                 self._give_up(exchange)
 
     def _give_up(self, exchange: Exchange) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -533,6 +533,22 @@
     run(scene)
 
 
+def test_at_the_end_what_never_went_out_may_be_tried_again_elsewhere(tmp_path):
+    async def scene():
+        async with fleet(tmp_path, [Cache("miss")], origin=lambda *call: "stall") as made:
+            fetches, waits = await made.client(), await made.client()
+            await fetches.send("KV.GET", "k1", "i1", "c=read,d=60000")
+            while not made.origin.seen:
+                await trio.sleep(0.01)
+            await waits.send("KV.GET", "k1", "i2", "c=read,d=60000")
+            while not made.service.dispatch.router.fetches[b"k1"]:
+                await trio.sleep(0.01)
+            made.service.dispatch.forfeit_rest()
+            assert await fetches.answer() == b"-ERR failed\r\n" and await waits.answer() == b"-BUSY 500\r\n"
+
+    run(scene)
+
+
 @both
 def test_while_leaving_a_connection_that_was_used_does_not_end_for_its_quiet(tmp_path, monkeypatch):
     monkeypatch.setattr(clients, "IDLE_TIME", 0.0)
