--- a/gaugehinge/recovery/datagram.py
+++ b/gaugehinge/recovery/datagram.py
@@ -18,7 +18,8 @@
 MAGIC = 0xE7
 VERSION = 1
 MARK_BYTES = 16  # of the digest that go along
-FORM = struct.Struct("<BBIIIQQdQdQ?fIB?dQQIIQf2x")
+FORM = struct.Struct("<BBIIIQQdQdQ?fIB?dQQIIQfBx")
+FLAGS = ("left", "you_left", "ordered", "kept")  # by bit. Routers that know none of them send 0: nothing said
 LENGTH = FORM.size + MARK_BYTES
 MOST_BYTES = 256
 if LENGTH > MOST_BYTES or LENGTH % 4 == 0:
@@ -43,6 +44,7 @@
             MAGIC, VERSION, told.me, told.to, told.zone, told.run, told.mark, told.uptime, told.echo,
             told.echo_uptime, told.you_run, told.lived, told.lived_ago, told.epoch, told.verdict, told.ready,
             told.wall, told.list_rev, told.list_sum, told.keeper, told.store, told.revision, told.lost_ago,
+            sum(getattr(told, name) << bit for bit, name in enumerate(FLAGS)),
         )
         return body + self._mark(body)
 
@@ -59,8 +61,9 @@
             return self._drop("version")
         if not hmac.compare_digest(mark, self._mark(body)):
             return self._drop("mark")
-        _, _, *figures = FORM.unpack(body)
-        told = Told(*figures)
+        _, _, *figures, flags = FORM.unpack(body)
+        said = {name: bool(flags >> bit & 1) for bit, name in enumerate(FLAGS)} if flags else {}
+        told = Told(*figures, **said)
         times = (told.uptime, told.echo_uptime, told.lived_ago, told.wall, told.lost_ago)
         known = told.verdict in Verdict._value2member_map_
         if not all(map(isfinite, times)) or min(times[:3]) < 0.0 or not known:
--- a/gaugehinge/recovery/driver.py
+++ b/gaugehinge/recovery/driver.py
@@ -24,7 +24,7 @@
 from ..net.bulletin import PRESENCES, Bulletin, Target
 from ..net.dispatch import FAILED, busy
 from ..net.phase import Phase
-from ..net.pool import Cargo
+from ..net.pool import Cargo, Line
 from ..net.service import Service
 from ..tenancy.feed import Feed
 from ..terms import Effect, Listing, Operation, Presence
@@ -32,10 +32,14 @@
 from .datagram import Wire, digest
 from .effects import Effects
 from .evidence import Verdict
+from .lives import Lives
 from .opening import Bearing, Facts, Opening, Order, Stage, Waits
 from .snapshot import Entry, Kept, Learnt, SnapshotFile, boot_of, identity_of
 
 LOOK = 0.05  # seconds between two looks at what has come
+LINES_LOOK = 0.5  # and at the lines to servers
+WORDS = 3  # times that each peer is told of an ordered end: datagrams may be lost
+WORDS_APART = 0.03  # seconds
 RISE_TIME, FALL_TIME = 2.0, 60.0  # seconds over which steady service is smoothed: a pause is no less of it
 MOST_FIGURE = (1 << 63) - 1  # of versions, as messages carry them
 STATES = {presence: state for state, presence in PRESENCES.items()}
@@ -93,6 +97,9 @@
         self.turn = 0
         self.elsewhere = 0
         self.failed = False
+        self.lives = Lives()
+        self.lines_at = self.began
+        self.lose_below = service.pool._lose
         self.dirty = trio.Event()
         self.parting = False  # whether operations pass by `_submit`
         self.hear_list_below: Callable[..., None] = self.dispatch.hear_list
@@ -147,6 +154,8 @@
         self.tells_from = places.messages
         dispatch.hear_list, dispatch.hear_peer = self._hear_list, self._hear_peer
         dispatch.follow = self._follow
+        self.service.pool._lose = self._lose_line
+        self.service.farewells.append(self._farewell)
         self._part(True)
         if self.follower is not None:
             self.follower.first_wait = places.keeper
@@ -324,6 +333,92 @@
         self.old_list_until = inf
         self._pass_on(Bulletin(self.former.list_rev, True, tuple(targets)), True)
 
+    # -- lines to servers
+
+    def _lose_line(self, line: Line, spoilt: bool) -> None:
+        """A line has ended, of itself or because this router closed it."""
+        place, travel = line.place, line.travel
+        failed = travel is not None and not (line.written or line.idle_since)
+        ended_there = not (line.closed or spoilt)
+        self.lose_below(line, spoilt)
+        pool, now = self.service.pool, self.clock()
+        leaving = self.service.course.phase in (Phase.CLOSING, Phase.ENDED)  # then lines end with this router
+        if leaving or not ended_there or pool.places.get(place.ident) is not place:
+            return
+        standing = bool(place.idle) or any(
+            each.line is not None and each.line.place is place and (each.line.written or each.line.idle_since)
+            for each in pool.travels.values()
+        )
+        if failed:
+            doubted = self.lives.failed(place.ident, standing, self.mind.verdict.lived, now)
+        else:
+            doubted = self.lives.broke(place.ident, travel is not None, standing, now)
+        if doubted:
+            self._doubt(place.ident, place.uid, now)
+
+    def _doubt(self, ident: int, uid: str, now: float) -> None:
+        rows = self.effects.doubt(ident, now)
+        if not rows:
+            return
+        logger.info("recovery: {} may have begun anew: no line to it stands, and none comes up", uid)
+        self._part(True)
+        for exchange in list(self.dispatch.exchanges):
+            # The module would send it once more when the server is back, which remembers nothing of it.
+            operation = exchange.operation
+            marked = operation.write and operation.traffic.row in rows
+            if marked and operation.ran_at is not None and not operation.over:
+                self.dispatch.refuse(operation, FAILED)
+
+    def _look_at_lines(self, now: float) -> None:
+        """What lines that stand idle say of their servers' lives."""
+        if now - self.lines_at < LINES_LOOK:
+            return
+        self.lines_at = now
+        pool = self.service.pool
+        self.lives.follow(pool.places)
+        in_use: dict[int, set[Line]] = {}
+        for travel in pool.travels.values():
+            if travel.line is not None:
+                in_use.setdefault(travel.line.place.ident, set()).add(travel.line)
+        for ident, place in pool.places.items():
+            lines = [(line, line.idle_since) for line in place.idle]
+            self.lives.see(ident, lines, in_use.get(ident, set()).union(place.idle), now)
+
+    def _kept(self, number: int) -> bool:
+        """Whether in that peer's zone a server of each cell is known to have lived while it was away."""
+        away = evidence.absence(self.mind, number)
+        if away is None:
+            return False
+        since, until = (self.began + at for at in away)
+        zone, origin = self.mind.peers[number].zone, self.deployment.origin_kind
+        cells: dict[int, bool] = {}
+        for target in self.servers.values():
+            each = target.listing
+            if digest(each.zone) == zone and each.kind != origin:
+                cells[each.cell] = cells.get(each.cell, False) or self.lives.covers(each.ident, since, until)
+        return bool(cells) and all(cells.values())
+
+    # -- an ordered end
+
+    async def _farewell(self) -> None:
+        """All is answered. Peers are told, where nothing is in hand."""
+        service = self.service
+        in_hand = len(self.dispatch.exchanges) + len(service.pool.travels)
+        in_hand += sum(clients.owe() for clients, _ in service.fronts)
+        self.mind = evidence.leave(self.mind, in_hand)
+        how = f"with {in_hand} in hand" if in_hand else "in order"
+        logger.info("recovery: run {} ends {}", self.mind.run, how)
+        if self.mind.leaving and self.service.peers is not None:
+            for _ in range(WORDS):
+                for number in range(self.routers):
+                    if number != self.me:
+                        self._tell(number)
+                await trio.sleep(WORDS_APART)
+        try:
+            await trio.to_thread.run_sync(self.file.save, self._snapshot())
+        except (OSError, ValueError) as bad:
+            logger.warning("recovery: snapshot not written: {}", bad)
+
     # -- peers
 
     def _hear_peer(self, number: int, payload: bytes) -> None:
@@ -406,6 +501,7 @@
             store=digest(self.store.name) if self.store.name else 0,
             revision=min(self.store.revision, MOST_FIGURE),
             lost_ago=now - effects.lost_at if settled and effects.open(now) else -1.0,
+            kept=self._kept(number),
         )
         self.service.peers.tell((number,), self.wire.write(told))
 
@@ -513,6 +609,7 @@
         if self.order.stage is Stage.OPEN and not self.old_list_until and not self.effects.open(now):
             self._part(False)
         self._learn(now)
+        self._look_at_lines(now)
         anew = evidence.elsewhere(self.mind, uptime, self.slack)
         if anew > self.elsewhere:
             told = f"{anew} of {self.routers - 1} peers began anew within {self.slack:.0f} s"
--- a/gaugehinge/recovery/effects.py
+++ b/gaugehinge/recovery/effects.py
@@ -79,6 +79,23 @@
             if kind.effect is Effect.DEDUPLICATED:
                 self._open(row, self._lost_at(kind.group, now - self.memory[row]), now)
 
+    def doubt(self, ident: int, now: float) -> list[int]:
+        """What a server remembers is not known to be there any more, whatever the list says by now. Returns
+        the rows of traffic types whose marks may be gone with it. Until the list told of the new start a
+        repeat of what had run there ran again."""
+        known = self.starts.get(ident)
+        if known is None:
+            return []
+        self.starts[ident] = (known[0], now)
+        rows = []
+        for row, kind in enumerate(self.types):
+            if kind.effect is Effect.DEDUPLICATED:
+                lost_at = self._lost_at(kind.group, now - self.memory[row])
+                self._open(row, lost_at, now)
+                if lost_at == now:
+                    rows.append(row)
+        return rows
+
     def _lost_at(self, group: Group, since: float) -> float:
         """When the last group lost the last member that remembered what ran since then; -inf: none did."""
         groups: dict[object, list[float]] = {}
--- a/gaugehinge/recovery/evidence.py
+++ b/gaugehinge/recovery/evidence.py
@@ -7,6 +7,14 @@
 times of our own clock, or by its number having risen since we heard it last before our end. Silence proves
 nothing at all: a router that hears too little is `APART`, and claims neither to be a survivor nor that
 somebody ended.
+
+A router that ends in order says so once it has nothing in hand any more (`leave`). That proves of this run
+that it owes nobody an answer, whatever became of its machine afterwards, and nothing else: nothing of another
+run of the router, nothing of others, nothing of servers and their marks. Peers remember it for the run whose
+mark it bore, and tell it to the run that has the next number. `LONE` follows from it only where all of these
+hold: our own former run ended so, each other router of the zone ended once since then at most and so, and
+somebody who lived on knows by his lines that a server of each cell of our zone did. The last is what speaks
+of a loss in which no router of the zone was there to end.
 """
 
 from __future__ import annotations
@@ -61,6 +69,10 @@
     store: int = 0  # digest of the store's name
     revision: int = 0  # of the store, as the sender follows it
     lost_ago: float = -1.0  # seconds since servers' marks were lost, as the sender saw it; under 0: never
+    left: bool = False  # the sender's present run ends now, with nothing in hand
+    you_left: bool = False  # the receiver's run with the number before did; heard in the sender's present run
+    ordered: bool = False  # one who lived on told the sender that of the sender's own former run
+    kept: bool = False  # from the receiver's former run to its present one the servers of its zone lived
 
 
 class Peer(NamedTuple):
@@ -78,6 +90,11 @@
     echo: int = 0  # the mark that goes back to it
     echo_uptime: float = 0.0
     known_run: int = 0  # the highest run that it, or files, told
+    left: bool = False  # its present run said that it ends in order
+    former_left: bool = False  # the run with the number before did
+    ordered: bool = False  # it was told that its own former run did
+    alive_at: float = 0.0  # of our uptime: its present run still lived then
+    former_alive_at: float = 0.0  # the same of the run before
 
 
 class Mind(NamedTuple):
@@ -95,6 +112,11 @@
     epoch: int = 0
     kept_epoch: int = 0  # as our files had it
     keeper_lived: bool = False  # the keeper that answered is the run that answered our former run
+    known: tuple[int, ...] = ()  # by number: the highest run that our files tell of
+    stale: bool = False  # our files were not those of our former run
+    ordered: bool = False  # one who lived on heard that our former run ended in order
+    kept: bool = False  # and one knows that servers of our zone lived from then to now
+    leaving: bool = False  # this run ends, with nothing in hand
 
 
 def begin(
@@ -104,7 +126,14 @@
     """A router starts. `known`: the highest run of each router that its files tell of; `before`: those that
     it heard within the slack before its end, -1 for the others. With no peers it is decided at once."""
     peers = tuple(Peer(known_run=each) for each in known)
-    return _decide(Mind(me, zone, run, mark, peers, before, bound, epoch=epoch, kept_epoch=epoch), 0.0)
+    mind = Mind(me, zone, run, mark, peers, before, bound, epoch=epoch, kept_epoch=epoch, known=known)
+    return _decide(mind, 0.0)
+
+
+def leave(mind: Mind, in_hand: int) -> Mind:
+    """This run ends in order and will take nothing any more. With something still in hand it is not said:
+    lost amid that, it would have been believed to owe nobody an answer."""
+    return mind._replace(leaving=in_hand == 0)
 
 
 def slack_of(routers: int, told_each: float) -> float:
@@ -121,11 +150,16 @@
     peer = mind.peers[to]
     mark, mark_uptime = echo or (peer.echo, peer.echo_uptime)
     lived = bool(peer.mark) and (peer.changes > 0 or mark != peer.mark)
-    return Told(
+    told = Told(
         mind.me, to, mind.zone, mind.run, mind.mark, uptime, mark, mark_uptime,
         max(peer.known_run, peer.run), lived, uptime - peer.last_at if lived else 0.0, mind.epoch,
         mind.verdict.value, **more,
     )
+    if not (mind.leaving or mind.ordered or peer.former_left):
+        return told
+    # Only of the run that its mark was proved for: another one's word is not this one's.
+    you_left = peer.former_left and mark == peer.mark
+    return told._replace(left=mind.leaving, you_left=you_left, ordered=mind.ordered)
 
 
 def hear(mind: Mind, told: Told, uptime: float) -> tuple[Mind, tuple[int, float] | None]:
@@ -145,8 +179,10 @@
         if told.you_run > mind.run:
             # It knows a later run of ours than our files did: they were old, and prove nothing.
             run = min(told.you_run + 1, MOST_NUMBER)
-            mind = mind._replace(run=run, before=(-1,) * len(mind.before))
-        mind = mind._replace(epoch=max(mind.epoch, told.epoch))
+            mind = mind._replace(run=run, before=(-1,) * len(mind.before), stale=True, ordered=False)
+        elif told.you_left and told.lived and told.you_run == mind.run and not mind.stale:
+            mind = mind._replace(ordered=True)
+        mind = mind._replace(epoch=max(mind.epoch, told.epoch), kept=mind.kept or (told.kept and told.lived))
         mind = _decide(mind, uptime)
     return mind, None if fresh else (told.mark, told.uptime)
 
@@ -158,13 +194,17 @@
     if told.mark == peer.mark:
         return peer._replace(
             run=max(peer.run, told.run), began=max(peer.began, began), lived=peer.lived or told.lived,
-            heard_at=uptime, zone=told.zone,
+            heard_at=uptime, zone=told.zone, left=peer.left or told.left,
+            ordered=peer.ordered or told.ordered, alive_at=max(peer.alive_at, told.echo_uptime),
         )
     changes = min(peer.changes + 1, 2) if peer.mark else peer.changes
     changed_at, last_at = (uptime, peer.heard_at) if peer.mark else (0.0, 0.0)
     return peer._replace(
         run=told.run, mark=told.mark, zone=told.zone, began=began, lived=told.lived, changes=changes,
-        changed_at=changed_at, last_at=last_at, heard_at=uptime,
+        changed_at=changed_at, last_at=last_at, heard_at=uptime, left=told.left,
+        # What one run said is never said of the next but one, whose end nobody may have heard of.
+        former_left=peer.left and told.run == peer.run + 1, ordered=told.ordered, alive_at=told.echo_uptime,
+        former_alive_at=peer.alive_at if peer.mark else 0.0,
     )
 
 
@@ -178,6 +218,21 @@
     return peer.began > 0.0 or (before >= 0 and peer.run > before)
 
 
+def absence(mind: Mind, number: int) -> tuple[float, float] | None:
+    """Between which times of our uptime that peer's former run ended and its present one began, where both
+    were heard. By what each message echoes, not by when it came: one that is late, or comes once more, would
+    have a run live on beyond its end."""
+    peer = mind.peers[number]
+    return (peer.former_alive_at, peer.changed_at) if peer.changes else None
+
+
+def in_order(mind: Mind, mates: list[int]) -> bool:
+    """Whether no router of our zone ended otherwise than in order since our files, and its servers lived."""
+    return mind.ordered and mind.kept and not mind.stale and all(
+        mind.peers[n].ordered and mind.peers[n].run <= mind.known[n] + 1 for n in mates
+    )
+
+
 def hear_keeper(mind: Mind, same: bool, uptime: float) -> Mind:
     """The keeper answered; `same`: by the run that answered our former run."""
     if same == mind.keeper_lived:
@@ -207,9 +262,11 @@
 
 def _decide(mind: Mind, uptime: float) -> Mind:
     """What is known now. What was proved is not taken back; what was only the time bound's may be."""
-    if mind.verdict in (Verdict.ZONE, Verdict.ALL):
+    if mind.verdict is Verdict.ALL:
         return mind
     verdict = _judge(mind, uptime >= mind.bound)
+    if mind.verdict is Verdict.ZONE and not (verdict is Verdict.LONE and in_order(mind, _mates(mind))):
+        return mind
     if verdict is mind.verdict or verdict is Verdict.DECIDING:
         return mind
     if uptime > LATE * mind.bound and not verdict.lived:
@@ -223,14 +280,21 @@
     return mind._replace(verdict=verdict, decided_at=uptime, epoch=epoch)
 
 
+def _mates(mind: Mind) -> list[int]:
+    """The other routers of our zone, of those that were heard."""
+    return [
+        n for n, peer in enumerate(mind.peers) if n != mind.me and peer.mark and peer.zone == mind.zone
+    ]
+
+
 def _judge(mind: Mind, bound_over: bool) -> Verdict:
     others = [number for number in range(len(mind.peers)) if number != mind.me]
     new = [number for number in others if anew(mind, number)]
     if any(mind.peers[number].lived for number in others):
-        mates = [n for n in others if mind.peers[n].mark and mind.peers[n].zone == mind.zone]
+        mates = _mates(mind)
         unheard = [n for n in others if not mind.peers[n].mark]
         if mates and not unheard and all(n in new for n in mates):
-            return Verdict.ZONE
+            return Verdict.LONE if in_order(mind, mates) else Verdict.ZONE
         # Of a mate that may still come it is not known: it is waited for until the bound.
         mates_lived = any(mind.peers[n].lived for n in mates)
         return Verdict.LONE if mates_lived or bound_over or not unheard else Verdict.DECIDING
