--- a/tests/test_recovery_model.py
+++ b/tests/test_recovery_model.py
@@ -1,5 +1,6 @@
 """The state machine of gaugehinge.recovery.evidence, searched whole in a small world: three routers in two
-zones, a keeper, messages that are lost, late and told twice also over a loss, single ends and losses of all.
+zones, a keeper, messages that are lost, late and told twice also over a loss, single ends and losses of all;
+then ordered ends, whose words come late or never, beside losses of one and of a zone with its servers.
 What each router claims is held against what truly was. Mutants of the machine are found by the same search.
 """
 
@@ -34,6 +35,8 @@
     started: int = 0  # tick of the present or last run's start
     ended: int = -1  # of the former run; -1: there was none
     witnesses: int = 0  # mask of peers that lived from that end to our present start
+    order: bool = False  # that end was in order: nothing was in hand
+    forced: int = -1  # when it ended otherwise last
 
 
 class World(NamedTuple):
@@ -43,6 +46,10 @@
     keeper: int
     ends: int  # so many ends may still come
     marks: int  # drawn so far
+    orders: int = 0  # so many routers may still be told to end
+    losses: int = 0  # so many times may zone 1 still lose power,
+    lost: int = -1  # and when it did last
+    words: bool = False  # of late words, only those of ordered ends come
 
 
 def put(row: tuple, place: int, value) -> tuple:
@@ -70,26 +77,35 @@
     return world._replace(routers=put(world.routers, one, new), marks=world.marks + 1)
 
 
-def end(world: World, one: int) -> World:
+def end(world: World, one: int, order: bool = False) -> World:
     """One ends. What it said last to each may still come to them, once or more, at any time."""
     router = world.routers[one]
+    if order:
+        router = router._replace(mind=evidence.leave(router.mind, 0))
+        world = world._replace(routers=put(world.routers, one, router))
+    forced = router.forced if order else world.tick
     alive = sum(1 << n for n, each in enumerate(world.routers) if each.mind is not None and n != one)
     late = tuple(
-        say(world, one, n // N) if n % N == one and n // N != one else told
+        say(world, one, n // N) if n % N == one and n // N != one and (order or not world.words) else told
         for n, told in enumerate(world.late)
     )
     routers = [
         each._replace(witnesses=each.witnesses & ~(1 << one)) if each.mind is None else each
         for each in world.routers
     ]
-    routers[one] = router._replace(mind=None, ended=world.tick, witnesses=alive)
+    routers[one] = router._replace(
+        mind=None, ended=world.tick, witnesses=alive, order=order, forced=forced
+    )
     return world._replace(routers=tuple(routers), late=late)
 
 
 @lru_cache(300_000)  # the same talk takes place in many worlds
-def talk(one: Router, other: Router, tick: int, back: bool) -> tuple[Router, Router]:
+def talk(one: Router, other: Router, tick: int, back: bool, lost: int) -> tuple[Router, Router]:
     """One says its word to another, who answers at once where that is due."""
-    told = evidence.say(one.mind, other.mind.me, float(tick - one.started))
+    away, more = evidence.absence(one.mind, other.mind.me), {}
+    if away is not None and lost < one.started + away[0]:
+        more = {"kept": True}  # as its lines to servers prove it
+    told = evidence.say(one.mind, other.mind.me, float(tick - one.started), **more)
     mind, echo = evidence.hear(other.mind, told, float(tick - other.started))
     other = other._replace(mind=mind)
     if echo is not None and back:
@@ -114,7 +130,7 @@
     for one, other in sorted(links):
         if routers[one].mind is not None and routers[other].mind is not None:
             back = (other, one) in links
-            routers[one], routers[other] = talk(routers[one], routers[other], tick, back)
+            routers[one], routers[other] = talk(routers[one], routers[other], tick, back, world.lost)
     for n, router in enumerate(routers):
         if router.mind is not None:
             routers[n] = written(router, tick, world.keeper)
@@ -130,10 +146,10 @@
 CUTS += [ALL_LINKS - {way} for way in sorted(ALL_LINKS)]  # and each one's messages one way only
 
 
-def steps(world: World, ticks: int, keeper: bool):
+def steps(world: World, ticks: int, keeper: bool, cuts=CUTS):
     """All that may happen next."""
     if world.tick < ticks:
-        for links in CUTS:
+        for links in cuts:
             yield pass_time(world, links)
     for told in world.late:
         if told is not None and world.routers[told.to].mind is not None:
@@ -148,6 +164,19 @@
                 router.mind, router.disk.keeper == world.keeper, float(world.tick - router.started)
             )
             yield world._replace(routers=put(world.routers, one, router._replace(mind=mind)))
+    for one, router in enumerate(world.routers):
+        if world.orders and router.mind is not None and ZONES[one] == 1:
+            less = world._replace(orders=world.orders - 1)
+            yield end(less, one, order=True)
+            asked = router._replace(mind=evidence.leave(router.mind, 1))
+            if asked != router:
+                yield less._replace(routers=put(world.routers, one, asked))
+    if world.losses:
+        lost = world._replace(losses=world.losses - 1, lost=world.tick)
+        for one, router in enumerate(world.routers):
+            if router.mind is not None and ZONES[one] == 1:
+                lost = end(lost, one)
+        yield lost
     if world.ends and sum(router.mind is not None for router in world.routers) > 1:
         lost = world._replace(ends=world.ends - 1, keeper=world.keeper + keeper)
         for one, router in enumerate(world.routers):
@@ -181,23 +210,33 @@
             lived[n] for n in range(N) if n != one and ZONES[n] == ZONES[one]
         ):
             return f"{one} claims ZONE, and a mate lived on"
+        mates = [n for n in range(N) if n != one and ZONES[n] == ZONES[one]]
+        heard = all(mind.peers[n].mark for n in range(N) if n != one)
+        if mind.verdict is Verdict.LONE and mates and heard and all(evidence.anew(mind, n) for n in mates):
+            since, until = router.ended, router.started
+            if not router.order or any(since <= world.routers[n].forced < until for n in mates):
+                return f"{one} claims LONE, and one of its zone ended with something in hand"
+            if since <= world.lost <= until:
+                return f"{one} claims LONE, and its zone lost power"
     return ""
 
 
-def first_world(ends: int) -> World:
+def first_world(ends: int, **more: int) -> World:
     """All are up, and know of each other."""
-    world = World(0, (Router(None, Disk()),) * N, (None,) * (N * N), 1, ends, 0)
+    world = World(0, (Router(None, Disk()),) * N, (None,) * (N * N), 1, ends, 0, **more)
     for one in range(N):
         world = start(world, one)
     return pass_time(pass_time(world, ALL_LINKS), ALL_LINKS)._replace(tick=2)
 
 
-def search(world: World, ticks: int, keeper: bool = False, most: int = 1_000_000) -> tuple[int, int, str]:
+def search(
+    world: World, ticks: int, keeper: bool = False, most: int = 1_000_000, cuts=CUTS
+) -> tuple[int, int, str]:
     """States, transitions, and what was wrong first."""
     seen, waiting, moves = {world}, deque([world]), 0
     while waiting:
         now = waiting.popleft()
-        for after in steps(now, ticks, keeper):
+        for after in steps(now, ticks, keeper, cuts):
             moves += 1
             if after in seen:
                 continue
@@ -220,6 +259,64 @@
     return world
 
 
+def told_to_end(world: World, one: int) -> World:
+    """One ends in order, and router 2 hears of it."""
+    world = end(world, one, order=True)
+    return hear(world, world.late[2 * N + one])[0]
+
+
+def again(world: World, one: int) -> World:
+    """It is back, and heard."""
+    return pass_time(pass_time(start(world, one), ALL_LINKS), ALL_LINKS)
+
+
+def beginnings() -> dict[str, tuple[World, int]]:
+    """With what may come from there on, and for how many ticks. Words of former runs come late in one."""
+    up = first_world(0, words=True)
+    half = told_to_end(up, 0)
+    silent = {"late": (None,) * (N * N)}
+    rolled = told_to_end(half, 1)._replace(**silent)
+    back = told_to_end(again(told_to_end(up, 1), 1), 0)
+    half = half._replace(**silent)
+    asked = half.routers[1]._replace(mind=evidence.leave(half.routers[1].mind, 1))
+    asked = pass_time(half._replace(routers=put(half.routers, 1, asked)), ALL_LINKS)
+    return {
+        "both were rolled, and the zone": (rolled._replace(losses=1), 3),
+        "both were rolled": (rolled._replace(ends=1), 3),
+        "one was rolled and is back": (back._replace(ends=1), 3),
+        "one fell while the other was away": (again(end(half, 1), 1)._replace(orders=1, **silent), 3),
+        "one was rolled, one was told to end amid its work": (asked._replace(ends=1), 3),
+        "one was rolled, and the zone": (half._replace(orders=1, losses=1), 2),
+        "one was rolled": (half._replace(ends=1, orders=1), 2),
+    }
+
+
+FEW = (ALL_LINKS, CUTS[1])  # and router 2 heard by nobody
+MOST_ORDERLY = 12_000  # states of a beginning
+
+
+def test_a_zone_that_was_rolled_is_no_loss_of_it():
+    verdicts = {}
+    for lost in (-1, 2):
+        world = beginnings()["both were rolled"][0]
+        world = world._replace(lost=lost)  # behind their words: nobody ends by it
+        world = start(start(pass_time(world, ALL_LINKS), 0), 1)
+        for _ in range(4):
+            world = pass_time(world, ALL_LINKS)
+        verdicts[lost] = [router.mind.verdict for router in world.routers[:2]]
+    assert verdicts == {-1: [Verdict.LONE] * 2, 2: [Verdict.ZONE] * 2}
+
+
+def test_no_loss_beside_ordered_ends_is_taken_for_a_lone_restart():
+    talk.cache_clear(), written.cache_clear()
+    found = 0
+    for name, (world, ticks) in beginnings().items():
+        states, _, broken = search(world, world.tick + ticks, most=MOST_ORDERLY, cuts=FEW)
+        assert not broken, (name, broken)
+        found += states
+    assert found > 40_000
+
+
 def test_every_state_within_bounds_claims_what_is_true():
     talk.cache_clear(), written.cache_clear()
     states, moves, broken = search(first_world(ends=1), ticks=4)
@@ -274,6 +371,60 @@
     monkeypatch.setattr(evidence, "look", lambda mind, uptime: mind)
 
 
+def said_with_something_in_hand(monkeypatch):
+    monkeypatch.setattr(evidence, "leave", lambda mind, in_hand: mind._replace(leaving=True))
+
+
+def one_runs_word_is_anothers(monkeypatch):
+    prove = evidence._prove
+
+    def wrong_prove(peer, told, uptime):
+        after = prove(peer, told, uptime)
+        return after._replace(former_left=peer.left or peer.former_left or after.former_left)
+
+    monkeypatch.setattr(evidence, "_prove", wrong_prove)
+
+
+def mates_words_suffice(monkeypatch):
+    monkeypatch.setattr(
+        evidence, "in_order",
+        lambda mind, mates: mind.kept and all(mind.peers[n].ordered for n in mates),
+    )
+
+
+def words_prove_servers_lives(monkeypatch):
+    in_order = evidence.in_order
+    monkeypatch.setattr(
+        evidence, "in_order", lambda mind, mates: in_order(mind._replace(kept=True), mates)
+    )
+
+
+def any_number_of_runs_since(monkeypatch):
+    in_order = evidence.in_order
+    many = (evidence.MOST_NUMBER,) * N
+    monkeypatch.setattr(
+        evidence, "in_order", lambda mind, mates: in_order(mind._replace(known=many), mates)
+    )
+
+
+ORDERLY_MUTANTS = [
+    said_with_something_in_hand, one_runs_word_is_anothers, mates_words_suffice, words_prove_servers_lives,
+    any_number_of_runs_since,
+]
+
+
+@pytest.mark.parametrize("mutant", ORDERLY_MUTANTS, ids=lambda each: each.__name__)
+def test_a_mutant_of_ordered_ends_is_found(mutant, monkeypatch):
+    mutant(monkeypatch)
+    talk.cache_clear(), written.cache_clear()
+    found = (
+        search(world, world.tick + ticks, most=MOST_ORDERLY, cuts=FEW)[2]
+        for world, ticks in beginnings().values()
+    )
+    assert any("LONE" in broken for broken in found)
+    talk.cache_clear(), written.cache_clear()
+
+
 MUTANTS = [
     no_echo, old_runs_prove, silence_proves, apart_is_most, who_is_up_for_longer_lived_on, never_decides
 ]
