--- a/gaugehinge/rehearsal/recoveryplay.py
+++ b/gaugehinge/rehearsal/recoveryplay.py
@@ -6,6 +6,7 @@
 
 import math
 import random
+import re
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -48,9 +49,15 @@
 
 FULL = Cast()
 SMALL = Cast(routers=3, servers=4, rate=60.0, before=3.0, after=8.0, gaps=0.25, warm_up=1.5, origin_bears=60)
+ROLL = Cast(routers=6, servers=6, rate=60.0, before=3.0, after=5.0, warm_up=1.5, origin_bears=60)
 TINY = Cast(routers=3, servers=3, rate=40.0, before=2.0, after=6.0, gaps=0.2, warm_up=1.0, origin_bears=60)
 
 
+ZONE = "a"  # that is rolled
+RETURN = 20.0  # seconds in which a router that started has decided
+VERDICT = re.compile(r"recovery: (lone|zone|all|most|apart) after")
+
+
 def case_of(seed: int) -> str:
     """The hard case of a seed."""
     return CASES[seed % len(CASES)]
@@ -105,6 +112,47 @@
     return judged(history, bounds, told)
 
 
+async def roll(seed: int, folder: Path, cast: Cast = ROLL) -> tuple[Outcome, dict[str, list[list[str]]]]:
+    """All routers of a zone told to end side by side, under load, and started again; then one of them killed
+    while it leaves; then the zone loses power. Also: by router, what it took each of these starts for."""
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "key").write_text(KEY)
+    plan = plan_of(cast, folder, seed, "plain", True, {})
+    async with company(folder, seed, plan) as all_:
+        await all_.ready()
+        await trio.sleep(SETTLE)
+        names = [n for n, each in all_.children.items() if n.startswith("router") and each.zone == ZONE]
+        all_.load(cast.rate, 3.0 * (cast.before + cast.after), **SHAPE)
+        for way in ("order", "cut short", "power"):
+            await trio.sleep(cast.before)
+            if way == "power":
+                all_.power_loss(ZONE)
+                await all_.power_back(cast.gaps)
+            else:
+                for name in names:
+                    all_.end(name)
+                if way == "cut short":
+                    await trio.sleep(0.1)
+                    all_.kill(names[-1])
+                await all_.over(*names)
+                for name in names:
+                    all_.start(name)
+            await all_.up(*names)
+            with trio.move_on_after(RETURN):
+                while not all(_taken_for(all_.log(name))[-1:] not in ([], [[]]) for name in names):
+                    await trio.sleep(0.1)
+            await trio.sleep(cast.after)
+        await all_.load_over()
+        bounds = all_.bounds()
+        told = {name: _taken_for(all_.log(name))[1:] for name in names}
+    return judged(list(read_history(folder)), bounds), told
+
+
+def _taken_for(log: str) -> list[list[str]]:
+    """The verdicts of each run."""
+    return [VERDICT.findall(run) for run in log.split("recovery: run ") if ", epoch" in run[:40]]
+
+
 async def _prepare(all_: Company, case: str) -> None:
     """What has to be so before the loss."""
     if case == "keeper older":
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -23,11 +23,12 @@
 from gaugehinge.recovery.driver import Recovery
 from gaugehinge.recovery.effects import MOST_BORN, Effects
 from gaugehinge.recovery.evidence import Told, Verdict
+from gaugehinge.recovery.lives import Life, Lives
 from gaugehinge.recovery.opening import Bearing, Facts, Opening, Order, Stage, Waits, portion
 from gaugehinge.recovery.snapshot import MOST_BYTES, Entry, Kept, SnapshotFile, encode, identity_of
 from gaugehinge.tenancy.feed import Feed, TenantRow
 from gaugehinge.terms import Group
-from tests.helper import MARKED, ONCE, PLAIN, READ, SETTINGS, Cache, fleet, origin_row, row
+from tests.helper import MARKED, ONCE, PLAIN, READ, SETTINGS, Cache, Web, fleet, free_port, origin_row, row
 
 KEY = b"k" * 16
 
@@ -91,6 +92,8 @@
     most = evidence.MOST_NUMBER
     greatest = Told(1, 2, most, most, 2**63, 5.0, you_run=most, epoch=most, list_rev=2**63 - 1)
     assert wire.read(wire.write(greatest)) == greatest
+    words = Told(1, 2, 3, 4, 5, 6.0, left=True, kept=True)
+    assert wire.read(wire.write(words)) == words
     endless = wire.write(Told(1, 2, 3, 4, 5, float("inf")))
     assert wire.read(endless) is None
     assert wire.dropped == {"form": 2, "version": 1, "mark": 1}
@@ -183,6 +186,47 @@
     assert evidence.elsewhere(mind, 12.0, 5.0) == 1 and evidence.elsewhere(mind, 60.0, 5.0) == 0
 
 
+def heard(mind, *words):
+    for told, uptime in words:
+        mind, _ = evidence.hear(mind, told, uptime)
+    return mind
+
+
+def test_of_a_message_that_comes_late_or_again_nobody_lives_longer():
+    mind = evidence.begin(0, 1, 3, 11, (3, 9, 9), (-1, 9, 9), 3.0, 0)
+    last = Told(1, 0, 1, 10, 22, 4.0, 11, 4.0, left=True)
+    mind = heard(mind, (last, 4.1), (last, 9.0), (Told(1, 0, 1, 11, 23, 1.0, 11, 9.5), 9.6))
+    assert evidence.absence(mind, 1) == (4.0, 9.6)  # and not from 9.0 on
+    assert evidence.say(mind, 1, 9.7).you_left and not evidence.say(mind, 2, 9.7).you_left
+    mind = heard(mind, (Told(1, 0, 1, 13, 24, 1.0, 11, 11.0), 11.2))
+    assert not evidence.say(mind, 1, 11.3).you_left  # run 12 was never heard: nobody knows how it ended
+
+
+# ---------------------------------------------------------------- servers' lives
+
+
+def test_answers_that_overlap_are_one_life():
+    life = Life()
+    for line, answered in (("a", 1.0), ("b", 3.0), ("a", 4.0), ("b", 9.0), ("c", 12.0), ("c", 15.0)):
+        life.see(line, answered)
+    assert life.covers(1.0, 9.0) and life.covers(13.0, 15.0)
+    assert not life.covers(8.0, 13.0) and not life.covers(1.0, 9.1)  # line c came up in a gap
+    life.forget({"c"}, 130.0)
+    assert life.spans == [(12.0, 15.0)] and set(life.first) == {"c"}
+
+
+def test_a_lone_reset_raises_no_doubt_and_a_server_that_is_down_raises_one():
+    lives = Lives()
+    assert not lives.failed(1, False, False, 1.0)  # it was never up: no loss of this run's
+    assert not lives.broke(1, True, False, 2.0)
+    assert not lives.failed(1, True, True, 9.0)  # the other is long ago, and a line stands
+    assert lives.failed(1, False, True, 10.0)
+    assert not lives.failed(1, False, True, 11.0)  # it is down still, and loses nothing more
+    assert not lives.broke(1, False, True, 20.0) and not lives.broke(1, False, False, 20.01)  # both were idle
+    assert lives.broke(1, True, False, 20.02)
+    assert lives.failed(2, False, True, 1.0)  # where the fleet lived on it may have been up before
+
+
 # ---------------------------------------------------------------- who is asked when
 
 
@@ -484,6 +528,106 @@
     assert ran == 3 and repeat.startswith(b"$4\r\ndone")
 
 
+class Forgets:
+    """An origin that drops repeats by their marks, and forgets them when it ends."""
+
+    def __init__(self) -> None:
+        self.port, self.ran, self.marks, self.how = free_port(), [], set(), None
+
+    def reply(self, method, target, headers, body):
+        mark = headers["x-labels"].partition("k=")[2].partition(",")[0]
+        if mark not in self.marks:
+            self.marks.add(mark)
+            self.ran.append(mark)
+        return self.how or (200, "", b"done")
+
+    async def live(self, task_status=trio.TASK_STATUS_IGNORED):
+        self.marks.clear()
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(partial(
+                    trio.serve_tcp, Web(self.reply).serve, self.port, host="127.0.0.1"
+                ))
+                task_status.started(scope)
+                await trio.sleep_forever()
+
+
+async def _repeat_before_the_list_knows(tmp_path, switched_off):
+    """The origin ends amid a marked write and is back at once; no list tells. How often that write ran."""
+    played, origin, settings = Played(tmp_path), Forgets(), {**SETTINGS, "replicasOfMe": 1}
+    async with (
+        trio.open_nursery() as nursery,
+        fleet(tmp_path, [Cache()], settings=settings, extend=played.extend) as made,
+    ):
+        recovery, told = played.made, []
+        life = await nursery.start(origin.live)
+        made.targets[-1]["endpoint"] = f"127.0.0.1:{origin.port}"
+        made.service.dispatch.hear_list(told_list(made))
+        await until(lambda: recovery.order.stage in (Stage.CLIENTS, Stage.OPEN))
+        recovery.effects.until, recovery.opening.open = [0.0] * 3, True
+        if switched_off:
+            recovery.lives.broke = recovery.lives.failed = lambda *all_: False
+        client, other = await made.client(), await made.client()
+        assert (await client.put(labels="c=mark,t=acme,d=4000,k=m0")).startswith(b"$")
+        origin.how = "stall"
+
+        async def first_try():
+            told.append(await client.put(labels="c=mark,t=acme,d=4000,k=m1"))
+
+        nursery.start_soon(first_try)
+        await until(lambda: "m1" in origin.ran)
+        life.cancel()
+        if not switched_off:
+            await until(lambda: told)
+        await trio.sleep(0.1)
+        origin.how = None
+        life = await nursery.start(origin.live)
+        await until(lambda: told)
+        labels, replies = "c=mark,t=acme,d=4000,k=m1,r=1", [b"-BUSY"]
+        while replies[-1].startswith(b"-BUSY"):
+            replies.append(await other.put(labels=labels))
+            await trio.sleep(0.02)
+        fresh = [b"-BUSY"]
+        while not fresh[-1].startswith(b"$"):  # the origin may still be set aside
+            fresh.append(await other.put(labels="c=mark,t=acme,d=4000,k=m2"))
+            await trio.sleep(0.02)
+        nursery.cancel_scope.cancel()
+        return origin.ran.count("m1"), told[0], replies[-1]
+    raise AssertionError
+
+
+@in_trio
+async def test_a_repeat_before_the_list_tells_of_a_new_start_gets_its_final_answer(tmp_path):
+    ran, first, repeat = await _repeat_before_the_list_knows(tmp_path, False)
+    assert (ran, first, repeat) == (1, b"-ERR failed\r\n", b"-ERR failed\r\n")
+
+
+@in_trio
+async def test_without_the_lines_word_it_runs_a_second_time(tmp_path):
+    ran, _, _ = await _repeat_before_the_list_knows(tmp_path, True)
+    assert ran == 2
+
+
+@in_trio
+async def test_an_ordered_end_is_said_with_nothing_in_hand_alone(tmp_path):
+    played, cache = Played(tmp_path), Cache("stall")
+    async with fleet(tmp_path, [cache], extend=played.extend) as made:
+        recovery, said = played.made, []
+        made.service.dispatch.hear_list(told_list(made))
+        recovery._give_way()
+        recovery._tell = lambda number, echo=None: said.append(evidence.say(recovery.mind, number, 9.0).left)
+        client = await made.client()
+        await client.send("KV.GET", "k", "id-1", "c=read,t=acme,d=60000")
+        await until(lambda: cache.commands)
+        await recovery._farewell()
+        assert not any(said)
+        made.service.dispatch.forfeit_rest()
+        await until(lambda: not made.service.dispatch.exchanges and not made.service.pool.travels)
+        del said[:]
+        await recovery._farewell()
+        assert said and all(said)
+
+
 def keep_snapshot(tmp_path, targets, **more):
     """A snapshot of this router's run before."""
     servers = [
