--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -612,20 +612,19 @@
 async def test_an_ordered_end_is_said_with_nothing_in_hand_alone(tmp_path):
     played, cache = Played(tmp_path), Cache("stall")
     async with fleet(tmp_path, [cache], extend=played.extend) as made:
-        recovery, said = played.made, []
-        made.service.dispatch.hear_list(told_list(made))
+        recovery, dispatch = played.made, made.service.dispatch
+        dispatch.hear_list(told_list(made))
         recovery._give_way()
-        recovery._tell = lambda number, echo=None: said.append(evidence.say(recovery.mind, number, 9.0).left)
         client = await made.client()
         await client.send("KV.GET", "k", "id-1", "c=read,t=acme,d=60000")
         await until(lambda: cache.commands)
         await recovery._farewell()
-        assert not any(said)
-        made.service.dispatch.forfeit_rest()
-        await until(lambda: not made.service.dispatch.exchanges and not made.service.pool.travels)
-        del said[:]
+        assert not evidence.say(recovery.mind, 1, 9.0).left
+        dispatch.forfeit_rest()
+        await until(lambda: not dispatch.exchanges and not made.service.pool.travels)
         await recovery._farewell()
-        assert said and all(said)
+        assert evidence.say(recovery.mind, 1, 9.0).left
+    assert SnapshotFile(played.entry.snapshot, identity_of(KEY, "n0", 0)).load()[0].run == 1
 
 
 def keep_snapshot(tmp_path, targets, **more):
