--- a/gaugehinge/rehearsal/recoveryplay.py
+++ b/gaugehinge/rehearsal/recoveryplay.py
@@ -112,7 +112,9 @@
     return judged(history, bounds, told)
 
 
-async def roll(seed: int, folder: Path, cast: Cast = ROLL) -> tuple[Outcome, dict[str, list[list[str]]]]:
+async def roll(
+    seed: int, folder: Path, cast: Cast = ROLL, ways: tuple[str, ...] = ("order", "cut short", "power")
+) -> tuple[Outcome, dict[str, list[list[str]]]]:
     """All routers of a zone told to end side by side, under load, and started again; then one of them killed
     while it leaves; then the zone loses power. Also: by router, what it took each of these starts for."""
     folder.mkdir(parents=True, exist_ok=True)
@@ -122,8 +124,8 @@
         await all_.ready()
         await trio.sleep(SETTLE)
         names = [n for n, each in all_.children.items() if n.startswith("router") and each.zone == ZONE]
-        all_.load(cast.rate, 3.0 * (cast.before + cast.after), **SHAPE)
-        for way in ("order", "cut short", "power"):
+        all_.load(cast.rate, len(ways) * (cast.before + cast.after), **SHAPE)
+        for way in ways:
             await trio.sleep(cast.before)
             if way == "power":
                 all_.power_loss(ZONE)
--- a/tests/test_recovery_play.py
+++ b/tests/test_recovery_play.py
@@ -1,5 +1,6 @@
 """Power losses of a small fleet of processes, with faults by seed: no rule broken, and service returns."""
 
+from dataclasses import replace
 from functools import partial
 
 import trio
@@ -34,3 +35,19 @@
         assert outcome.looked_at["crashes"] >= 10
     assert sum(outcome.looked_at["effects_by_mark"] for outcome in came.values()) > 50
     assert came[3].figures["set_aside"] == 2.0  # the torn one and that of another installation
+
+
+def test_a_rolled_zone_is_no_loss_and_a_zone_without_power_is_one(tmp_path):
+    cast = replace(recoveryplay.ROLL, before=2.0, after=3.0)
+    ways = ("order", "power")
+
+    async def main():
+        with trio.fail_after(200.0):
+            return await recoveryplay.roll(7, tmp_path, cast, ways)
+
+    outcome, taken_for = trio.run(main)
+    assert not outcome.breaks, outcome.breaks[0].told()
+    assert len(taken_for) == 2
+    for name, (rolled, lost) in taken_for.items():
+        assert rolled[-1] == "lone", (name, rolled)  # it may have begun with `zone`
+        assert "lone" not in lost and lost, (name, lost)
