--- a/gaugehinge/recovery/driver.py
+++ b/gaugehinge/recovery/driver.py
@@ -101,6 +101,7 @@
         self.lines_at = self.began
         self.lose_below = service.pool._lose
         self.dirty = trio.Event()
+        self.saving = trio.Lock()  # two at a time would write into one file
         self.parting = False  # whether operations pass by `_submit`
         self.hear_list_below: Callable[..., None] = self.dispatch.hear_list
         self.hear_believed: Callable[..., None] = self.dispatch.hear_list
@@ -387,7 +388,7 @@
     def _kept(self, number: int) -> bool:
         """Whether in that peer's zone a server of each cell is known to have lived while it was away."""
         away = evidence.absence(self.mind, number)
-        if away is None:
+        if away is None or self.uptime() > away[1] + evidence.LATE * self.mind.bound:
             return False
         since, until = (self.began + at for at in away)
         zone, origin = self.mind.peers[number].zone, self.deployment.origin_kind
@@ -415,7 +416,7 @@
                         self._tell(number)
                 await trio.sleep(WORDS_APART)
         try:
-            await trio.to_thread.run_sync(self.file.save, self._snapshot())
+            await self._save()
         except (OSError, ValueError) as bad:
             logger.warning("recovery: snapshot not written: {}", bad)
 
@@ -701,6 +702,11 @@
             for target in self.servers.values() if target.endpoint is not None
         ]
 
+    async def _save(self) -> None:
+        """Raises OSError, ValueError."""
+        async with self.saving:
+            await trio.to_thread.run_sync(self.file.save, self._snapshot())
+
     async def _save_on(self) -> None:
         """Write the snapshot now and then, and soon after something in it changed."""
         failed = False
@@ -709,7 +715,7 @@
                 await self.dirty.wait()
             self.dirty = trio.Event()
             try:
-                await trio.to_thread.run_sync(self.file.save, self._snapshot())
+                await self._save()
                 if failed:
                     logger.info("recovery: snapshot written again")
                 failed = False
--- a/gaugehinge/recovery/lives.py
+++ b/gaugehinge/recovery/lives.py
@@ -24,11 +24,14 @@
     """One server's. As large as its open lines."""
 
     spans: list[tuple[float, float]] = field(default_factory=list)  # that were one life each, the newest last
-    first: dict[Hashable, float] = field(default_factory=dict)  # by open line, its first answer seen
+    seen: dict[Hashable, tuple[float, float]] = field(default_factory=dict)  # by open line: first, last answer
 
     def see(self, line: Hashable, answered: float) -> None:
         """An open line was answered last at that time."""
-        since = self.first.setdefault(line, answered)
+        since, last = self.seen.get(line, (answered, -1.0))
+        if last == answered:
+            return
+        self.seen[line] = since, answered
         until, rest = answered, []
         for one, other in self.spans:
             if other < since or one > until:
@@ -41,8 +44,10 @@
 
     def forget(self, open_lines: set[Hashable], now: float) -> None:
         """Only these are open still."""
-        self.first = {line: at for line, at in self.first.items() if line in open_lines}
-        self.spans = [span for span in self.spans if span[1] > now - KEEP]
+        if not self.seen.keys() <= open_lines:
+            self.seen = {line: told for line, told in self.seen.items() if line in open_lines}
+        if self.spans and self.spans[0][1] <= now - KEEP:
+            self.spans = [span for span in self.spans if span[1] > now - KEEP]
 
     def covers(self, since: float, until: float) -> bool:
         """Whether the server is proved to have lived all that time."""
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -212,7 +212,7 @@
     assert life.covers(1.0, 9.0) and life.covers(13.0, 15.0)
     assert not life.covers(8.0, 13.0) and not life.covers(1.0, 9.1)  # line c came up in a gap
     life.forget({"c"}, 130.0)
-    assert life.spans == [(12.0, 15.0)] and set(life.first) == {"c"}
+    assert life.spans == [(12.0, 15.0)] and set(life.seen) == {"c"}
 
 
 def test_a_lone_reset_raises_no_doubt_and_a_server_that_is_down_raises_one():
