--- a/gaugehinge/recovery/lives.py
+++ b/gaugehinge/recovery/lives.py
@@ -24,7 +24,7 @@
     """One server's. As large as its open lines."""
 
     spans: list[tuple[float, float]] = field(default_factory=list)  # that were one life each, the newest last
-    seen: dict[Hashable, tuple[float, float]] = field(default_factory=dict)  # by open line: first, last answer
+    seen: dict[Hashable, tuple[float, float]] = field(default_factory=dict)  # by open line: first, last
 
     def see(self, line: Hashable, answered: float) -> None:
         """An open line was answered last at that time."""
