A lost machine's connections are reset as it starts anew, before anybody may write on one

Cause: a play healed the links of a router that was lost with its machine and started it; connections of the lost run were reset only when their relays came to run. It was the relay's matter, neither the checker's nor the router's.

Change: the links forget a party's connections, whatever they hold of them, before they are healed.

Result: the test fails without it.

--- a/gaugehinge/emulator/link.py
+++ b/gaugehinge/emulator/link.py
@@ -141,10 +141,14 @@
     def put(self, fault: Fault) -> None:
         super().put(fault)
         if fault.state is State.REFUSED:
-            for joint in list(self.joints):
-                joint.reset()
+            self.forget()
         self.look()
 
+    def forget(self) -> None:
+        """All connections are reset, before this returns."""
+        for joint in list(self.joints):
+            joint.reset()
+
     def reach(self, there: bool) -> None:
         """The other side's process listens, or does not: then connections are refused here as they are there.
 
@@ -390,13 +394,19 @@
             if link.other == other and isinstance(link, TcpLink):
                 link.reach(there)
 
+    def forget(self, name: str) -> None:
+        """All connections from and to a party are reset at once, whatever its links held of them: its machine
+        is another one."""
+        for sides, link in self.all.items():
+            if name in sides and isinstance(link, TcpLink):
+                link.forget()
+
     def close(self) -> None:
         """No link any more."""
         for link in self.all.values():
             link.close()
             if isinstance(link, TcpLink):
-                for joint in list(link.joints):
-                    joint.reset()
+                link.forget()
 
 
 def _fits(told: str, name: str) -> bool:
--- a/gaugehinge/rehearsal/company.py
+++ b/gaugehinge/rehearsal/company.py
@@ -325,6 +325,9 @@
     def _light(self, name: str) -> None:
         """Its machine is there again, which knows nothing of the connections that it had."""
         self.dark.discard(name)
+        # Healed alone, connections of the lost run stand until their relays come to run: a client that is first
+        # writes an operation, to a router that is there, on a connection that it never had.
+        self.links.forget(name)
         for one, other in self.links.all:
             if name in (one, other) and not {one, other} & self.dark:
                 self.link(one, other, Fault())
--- a/tests/test_company.py
+++ b/tests/test_company.py
@@ -27,6 +27,7 @@
     read_history,
 )
 from gaugehinge.histories.stores import connections
+from gaugehinge.net.sockets import silent
 from gaugehinge.rehearsal.company import Plan, company
 from gaugehinge.rehearsal.faultplan import KINDS, carry_out, draw, printed, shrink
 
@@ -159,7 +160,10 @@
         await all_.over("router-0")
         await trio.sleep(0.3)
         assert open_of("router-0")
+        lines = [line.raw for party in all_.crowd.parties for line in party.lines.get(0, ())]
+        assert any(map(silent, lines))
         all_.start("router-0")
+        assert not any(map(silent, lines)), "a client would take one for a line to the new run"
         await all_.up("router-0")
         while open_of("router-0"):
             await trio.sleep(0.02)
