A keeper that was killed grants at once on the store that it told by

Change: before anything is told, the revision and its mark in the store's chain are written to a file in the machine's memory, where no restore reaches. A store that has that revision with that mark, told by one that had waited itself or knew all, less than lease and closing time ago, is taken for what it is: what it charges is all that nodes may hold, so what is free may be given at once. Else it waits as before.

--- a/gaugehinge/drains/api.py
+++ b/gaugehinge/drains/api.py
@@ -154,6 +154,7 @@
 
     def _limits(self, store: Store) -> list[LimitShown]:
         part = self.part
+        part.note(store)
         with part.lock:
             grants, now = part.grants, part.clock()
             slots = [slot for _, slot in part.slots(store).values()]
@@ -246,6 +247,8 @@
                     word.need if word else {}, round(now - heard, 3) if heard is not None else -1.0, stage,
                 ))
             settled = max(grants.settled_at - now, 0.0)
+            if grants.raises(now) and not grants.ground.doubt:
+                settled = 0.0
             return GrantPage(
                 nodes, grants.most_nodes, dict(grants.refused), grants.ground.doubt, round(settled, 3)
             )
--- a/gaugehinge/drains/grants.py
+++ b/gaugehinge/drains/grants.py
@@ -9,7 +9,8 @@
 - A kill proves nothing. A successor on the same files proves that the process ended, not that the store
   closed its connections: those count for the longest closing time from when the successor was first heard.
 - All that a keeper may act by is in its store before it is told. One that starts anew raises nothing until
-  the longest lease and closing time are over, whatever its store says; what nodes say they hold counts.
+  the longest lease and closing time are over, whatever its store says; what nodes say they hold counts. It
+  need not wait where it is proved that its store is the one that was told by last (`lastword.py`).
 """
 
 from __future__ import annotations
@@ -178,6 +179,7 @@
     fresh: set[str] = field(default_factory=set)  # heard since the last plan
     arranged: float = float("-inf")
     witnessed: int = 0  # admissions that are on record beside the store, too
+    sure: bool = False  # the store has all that the run before this one told, which raised by right itself
 
     @property
     def closed_after(self) -> float:
@@ -190,6 +192,16 @@
         longest = max(self.lease, self.ground.longest)
         return self.began + longest * (1.0 + DRIFT) + SLACK + self.closed_after
 
+    @property
+    def unraised(self) -> float:
+        """Seconds, by any clock, in which a keeper of the same file that started on a copy of this store, of
+        whatever age, raises nothing."""
+        return (self.lease + self.closing) * (1.0 - DRIFT)
+
+    def raises(self, now: float) -> bool:
+        """Whether what is free by the store may be given: what it charges is all that nodes may hold."""
+        return self.sure or now >= self.settled_at
+
     def hear(self, word: Word, now: float) -> bool:
         """A report; False for one that is late: of a run before the last, or said before another was."""
         known = self.words.get(word.node)
@@ -256,7 +268,7 @@
 
     def reached(self, slots: Iterable[Slot], store: str, most: int, now: float) -> bool:
         """Whether a limit is certainly kept; one that was lowered is not at once."""
-        return now >= self.settled_at and self.spent(slots, store) <= most
+        return self.raises(now) and self.spent(slots, store) <= most
 
     # -- the plan
 
@@ -276,7 +288,7 @@
             if self.over(node, now) and (slot.values or slot.ceilings):
                 table[node] = self._renumber(slot, {}, {})
                 self._unhear(node)  # what it said of open connections is of before
-        if now >= self.settled_at:
+        if self.raises(now):
             self._arrange(table, limits, now, leaving, worst or {})
         return {node: slot for node, slot in table.items() if slots.get(node) != slot}
 
@@ -336,7 +348,7 @@
             if not self.ground.doubt:
                 told = f"{word.node} was admitted, which this store does not know"
                 self.ground = msgspec.structs.replace(self.ground, doubt=told)
-        elif self.ground.doubt or now < self.settled_at:
+        elif self.ground.doubt or not self.raises(now):
             self.refused[word.node] = self.ground.doubt or "the keeper has just started"
             return None
         elif len(table) >= self.most_nodes:
@@ -372,7 +384,7 @@
             slot, run=word.run, run_number=word.run_number, remains=left, closed=False, zone=word.zone
         )
         # Nothing is left of before, whatever else this store does not know: the floor is this run's at once.
-        floors = {} if left or now >= self.settled_at else dict(slot.floors)
+        floors = {} if left or self.raises(now) else dict(slot.floors)
         return self._renumber(after, floors, floors)
 
     # -- who is to have how many
--- a/gaugehinge/drains/keeper.py
+++ b/gaugehinge/drains/keeper.py
@@ -26,6 +26,7 @@
 from .api import DrainsApi
 from .forms import NAME, Said, ServerSaid, Told
 from .grants import ORIGIN, SERVERS, Figures, Grants, Ground, Slot, figure
+from .lastword import LastWord, sleepless
 from .rolls import ENDED, MOST_NODES, Fact, Roll, Rolls, Stage, Status, Step, told_as
 
 LIMIT, NODE, GROUND, ROLL, STEP = (
@@ -94,6 +95,7 @@
     worst_at: float = float("-inf")
     orders: dict[str, tuple[str, str, bool]] = field(default_factory=dict)  # by router: roll, run, at once
     moved: dict[str, str] = field(default_factory=dict)  # modes that the log told last
+    last_word: LastWord = field(init=False)
 
     def __post_init__(self) -> None:
         told = self.told
@@ -103,6 +105,7 @@
             self.clock(), desk.lease, float(told.closing), told.most_nodes, floors, told.reserve,
             desk.run_mark, desk.life, Ground(),
         )
+        self.last_word = LastWord.beside(desk.keeper.path)
 
     # -- what routers say
 
@@ -160,6 +163,8 @@
             return None
         said = msgspec.json.decode(raw, type=Said)
         life = self.administration.life
+        if not self.note(store):
+            return None
         item = store.get(NODE, said.node)
         slot = msgspec.json.decode(item.body, type=Slot) if item is not None else None
         with self.lock:
@@ -184,6 +189,13 @@
             )
         return msgspec.json.encode(told)
 
+    def note(self, store: Store) -> bool:
+        """On the store's thread, before anything is told by it: up to where it is told by. False: that could
+        not be said, and nothing may be told."""
+        with self.lock:
+            good = self.grants.raises(self.clock())
+        return self.last_word.say(self.administration.life, store.rev, store.mark, good, sleepless())
+
     def _asks_list(self, node: str, now: float) -> bool:
         if now - self.servers_at < LIST_OLD:
             return False
@@ -221,6 +233,10 @@
             )
             with self.lock:
                 self.grants.ground = ground
+                # Killed on this machine and back on the file that it told by: what is held is in there.
+                self.grants.sure = not doubt and self.last_word.of(
+                    self.administration.life, store.mark, sleepless(), self.grants.unraised
+                )
             wanted = [Wanted(GROUND, "ground", encode(ground), held.rev if held else 0)]
             first = {ORIGIN: told.origin, SERVERS: told.servers, **told.limits}
             for name, most in first.items():
@@ -237,6 +253,8 @@
             first_start = ground.admissions == 0 and not ground.doubt
             if first_start:
                 self.grants.began = float("-inf")  # nobody was ever told anything
+            elif self.grants.sure:
+                logger.info("drains: this store has all that was told by it: grants go on at once")
         self.ready = True
 
     def _witness(self) -> str:
--- a/gaugehinge/drains/router.py
+++ b/gaugehinge/drains/router.py
@@ -30,6 +30,7 @@
 from .files import NodeFile
 from .forms import MOST_SERVERS, NAME, Said, ServerSaid, Told
 from .grants import ORIGIN, SERVERS, Figures, Holding
+from .lastword import sleepless
 
 TICK = 0.1  # seconds between two looks at what is open
 SPAN = 5.0  # seconds of a measure: need is the most of the last one or two of them
@@ -42,11 +43,6 @@
 FORCED = 0.5  # of the closing time after a lease: what is still busy over the floor is cut off
 
 
-def sleepless() -> float:
-    """Seconds of a clock that nobody sets and that goes on while the machine sleeps."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 @dataclass(slots=True)
 class Store:
     """Lines to one server. It leaves with its last line, once the server has left the list."""
--- a/gaugehinge/rehearsal/company.py
+++ b/gaugehinge/rehearsal/company.py
@@ -36,6 +36,7 @@
 
 from ..admin.service import Administration
 from ..admin.types import NewTenant
+from ..drains.lastword import LastWord
 from ..emulator.link import Fault, Links, State
 from ..emulator.party import KEEP_IDLE, DirectoryPart, Listed, OriginPart, Part, ServerPart
 from ..histories.checks import Bounds
@@ -325,8 +326,8 @@
     def _light(self, name: str) -> None:
         """Its machine is there again, which knows nothing of the connections that it had."""
         self.dark.discard(name)
-        # Healed alone, connections of the lost run stand until their relays come to run: a client that is first
-        # writes an operation, to a router that is there, on a connection that it never had.
+        # Healed alone, connections of the lost run stand until their relays come to run: a client that is
+        # first writes an operation, to a router that is there, on a connection that it never had.
         self.links.forget(name)
         for one, other in self.links.all:
             if name in (one, other) and not {one, other} & self.dark:
@@ -550,6 +551,7 @@
         at = self.recorder.now()
         running = [name for name in names if self.children[name].runs]
         for name in running if silent else ():
+            self._forget(name)
             self.dark.add(name)
             self.link(name, "*", Fault(State.SILENT))
         for name in running:
@@ -616,9 +618,15 @@
             child = self.children[name]
             child.reap()
             self._ended(child)
+            self._forget(name)
             if (name in self.listed or name == "origin") and child.files.is_dir():
                 child.forget("marks")
 
+    def _forget(self, name: str) -> None:
+        """What the keeper's machine has in memory goes with its power."""
+        if name == "keeper":
+            LastWord.beside(self.children[name].files / "store.db").forget()
+
     async def power_back(self, gaps: float = 0.5, order: tuple[str, ...] = ()) -> None:
         """Everything that is down started in an order and with gaps of up to `gaps` s drawn by the seed."""
         names = [name for name, child in self.children.items() if not child.runs]
@@ -654,6 +662,7 @@
         for child in self.children.values():
             with suppress(Exception):
                 child.reap()
+        self._forget("keeper")
         self.crowd.close()
         self.links.close()
         for recorder in self.recorders:
--- a/gaugehinge/rehearsal/drainsmodel.py
+++ b/gaugehinge/rehearsal/drainsmodel.py
@@ -66,15 +66,25 @@
         for node in self.nodes:
             self.boot(node)
         self.late: list = []  # what the network still has: (node, word) and (node, run, grant, asked at)
+        self.commits = 0
+        self.chain: frozenset[int] = frozenset({0})  # commits that the store has
+        self.told = (0, True, 0.0)  # in the machine's memory: up to which commit, whether by right, when
+        self.home: tuple | None = None  # a store left behind, while a keeper elsewhere goes on with its copy
         self.keep(-100.0)
 
-    def keep(self, began: float) -> None:
+    def keep(self, began: float, sure: bool = False) -> None:
         self.runs += 1
         self.keeper = self.grants_kind(
             began, LEASE, CLOSING, self.most_nodes, {ORIGIN: self.floor}, 0.0, f"k{self.runs}", "life",
             self.ground,
         )
         self.keeper.witnessed = self.ground.admissions
+        self.keeper.sure = sure
+
+    def believed(self) -> bool:
+        """Whether a keeper that starts now on this machine takes its store for the one told by last."""
+        commit, right, at = self.told
+        return right and commit in self.chain and self.now - at < self.keeper.unraised
 
     def boot(self, node: Node) -> None:
         now = node.clock(self.now)
@@ -100,6 +110,8 @@
             found.append(("repeat",))
         if self.backup is None:
             found.append(("copy",))
+        if self.home is not None:
+            found.append(("back_home",))
         return [*found, ("keeper",), ("older",)]
 
     def do(self, move: tuple) -> None:
@@ -123,6 +135,9 @@
 
     def _plan(self) -> None:
         changed = self.keeper.plan(self.slots, {ORIGIN: self.limit}, self.now)
+        if changed or self.ground != self.keeper.ground:
+            self.commits += 1
+            self.chain |= {self.commits}
         self.slots = {**self.slots, **changed}
         self.ground = self.keeper.ground
         self.keeper.witnessed = self.ground.admissions
@@ -144,6 +159,7 @@
             return None
         self._plan()
         slot = self.slots.get(word.node)
+        self.told = max(self.chain), self.keeper.raises(self.now), self.now
         return self.keeper.tell(slot, word, self.now) if slot is not None else None
 
     def take(self, node: Node, grant: Grant | None, asked_at: float) -> None:
@@ -235,15 +251,27 @@
         self.allowed = max(self.allowed, most)
 
     def _keeper(self) -> None:
-        self.keep(self.now)
+        self.keep(self.now, self.believed())
 
     def _copy(self) -> None:
-        self.backup = self.slots, self.ground
+        self.backup = self.slots, self.ground, self.chain
 
     def _older(self) -> None:
         if self.backup is not None:
-            self.slots, self.ground = self.backup
-            self.keep(self.now)
+            self.slots, self.ground, self.chain = self.backup
+            self.keep(self.now, self.believed())
+
+    def _elsewhere(self) -> None:
+        """The keeper's machine is given up: one on another goes on with a copy of the store."""
+        self.home = self.slots, self.ground, self.chain, self.told
+        self.told = (-1, False, 0.0)  # of that machine, whose memory has none
+        self.keep(self.now)
+
+    def _back_home(self) -> None:
+        """That one ends as well, and the first machine's goes on with the store that it was left with."""
+        self.slots, self.ground, self.chain, self.told = self.home
+        self.home = None
+        self.keep(self.now, self.believed())
 
     # -- what must hold
 
@@ -258,6 +286,7 @@
         other.now, other.limit, other.floor, other.runs = self.now, self.limit, self.floor, self.runs
         other.most_nodes, other.allowed = self.most_nodes, self.allowed
         other.slots, other.ground, other.backup = self.slots, self.ground, self.backup
+        other.commits, other.chain, other.told, other.home = self.commits, self.chain, self.told, self.home
         other.late = list(self.late)
         other.nodes = []
         for node in self.nodes:
@@ -309,7 +338,11 @@
             for kind, i, what, at in self.late
         )
         backup = self.backup and (self.backup[0] == self.slots, len(self.backup[0]))
-        return nodes, slots, words, given, gone, late, ago(keeper.began), backup
+        commit, right, at = self.told
+        told = keeper.sure, right, commit in self.chain, ago(at), backup and commit in self.backup[2]
+        if self.home is not None:
+            told += (self.home[0] == self.slots, self.home[3][1], ago(self.home[3][2]))
+        return nodes, slots, words, given, gone, late, ago(keeper.began), backup, told
 
     def _node(self, name: str) -> Node:
         return self.nodes[int(name[1:])]
@@ -406,6 +439,27 @@
             })
 
 
+class BelievesAnyStore(World):
+    """A fault: one that is back takes its store for the one that was told by last, also when it went back."""
+
+    def believed(self) -> bool:
+        return True
+
+
+class BelievesWhoeverTold(World):
+    """A fault: it does not ask whether the one that told last had waited itself."""
+
+    def believed(self) -> bool:
+        return self.told[0] in self.chain
+
+
+class BelievesForEver(World):
+    """A fault: a word counts however old it is; a keeper elsewhere may have raised what is told since."""
+
+    def believed(self) -> bool:
+        return self.told[1] and self.told[0] in self.chain
+
+
 class FromArrival(World):
     """A fault: a node counts its lease from when the answer came."""
 
@@ -428,12 +482,16 @@
     for node in world.nodes:
         node.rate = draw.choice([1.0, 1.0 - DRIFT / 2, 1.0 + DRIFT / 2])
     rare = {"crash": 0.1, "keeper": 0.05, "older": 0.03, "copy": 0.3, "pause": 0.15}
+    rare |= {"elsewhere": 0.02, "back_home": 0.1}
+    if seed % 2:
+        rare |= {"keeper": 0.1, "older": 0.2, "copy": 0.8, "elsewhere": 0.05, "back_home": 0.2, "crash": 0.02}
     path = []
     for _ in range(steps):
         for node in world.nodes:
             if draw.random() < 0.1:
                 node.want = draw.randrange(9)
-        moves = [move for move in world.moves() if draw.random() < rare.get(move[0], 1.0)]
+        moves = world.moves() + ([("elsewhere",)] if world.home is None else [])
+        moves = [move for move in moves if draw.random() < rare.get(move[0], 1.0)]
         if draw.random() < 0.05:
             up = [i for i, node in enumerate(world.nodes) if not node.paused]
             more = [("limit", draw.randrange(world.most_nodes * floor, first + 1))]
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -1,5 +1,6 @@
 """Grants and rolls: hard cases one by one, a router's lines and file, the API, and plays of processes."""
 
+import json
 import socket
 import subprocess
 import sys
@@ -20,6 +21,7 @@
 from gaugehinge.drains.forms import NAME, Said, ServerSaid, Told
 from gaugehinge.drains.grants import ORIGIN, SERVERS, Grants, Ground, Slot, Word
 from gaugehinge.drains.keeper import KeeperDrains
+from gaugehinge.drains.lastword import LastWord, in_memory
 from gaugehinge.drains.rolls import (
     Burn,
     Fact,
@@ -52,6 +54,12 @@
 SEEDS, JOBS = range(1, 6), 5
 
 
+@pytest.fixture(autouse=True)
+def no_last_word(tmp_path):
+    yield
+    LastWord.beside(tmp_path / "store.db").forget()
+
+
 class Desk:
     """A keeper's grants with a store, and nodes that say what they are told to."""
 
@@ -668,6 +676,64 @@
     run(scene)
 
 
+def test_a_keeper_that_was_killed_grants_at_once_on_the_store_that_it_told_by_and_on_no_other(tmp_path):
+    store = tmp_path / "store.db"
+
+    async def scene():
+        async with desk_of(tmp_path) as all_:
+            await follow(all_, "r-1")
+            older = tmp_path / "older.db"
+            all_.admin.keeper.store.backup(older)
+            await follow(all_, "r-2")
+        async with desk_of(tmp_path) as all_:
+            assert (await follow(all_, "r-3")).number
+            assert (await all_.desk.get("/v1/grants")).json()["settled_in"] == 0
+        LastWord.beside(store).forget()  # the machine was started anew
+        async with desk_of(tmp_path) as all_:
+            assert not all_.part.grants.sure and "just started" in (await refusal(all_, "r-4"))
+        for name in ("store.db-wal", "store.db-shm"):
+            (tmp_path / name).unlink(missing_ok=True)
+        older.rename(store)  # put back with all that lies beside it
+        (tmp_path / "store.db.drains").write_text(json.dumps({"life": all_.admin.life, "admissions": 1}))
+        async with desk_of(tmp_path) as all_:
+            assert not all_.part.grants.ground.doubt and not all_.part.grants.sure
+
+    run(scene)
+
+
+async def refusal(all_, name):
+    for turn in range(1, 50):
+        got = await report(all_, name, turn)
+        if got.refused:
+            return got.refused
+        await trio.sleep(0.05)
+    raise AssertionError("it was not refused")
+
+
+def test_the_last_word_is_in_memory_alone_whole_and_not_old(tmp_path, caplog):
+    mounts = tmp_path / "mounts"
+    mounts.write_text(f"tmpfs {tmp_path} tmpfs rw 0 0\n/dev/sda / ext4 rw 0 0\n")
+    assert in_memory(tmp_path, mounts) and not in_memory(tmp_path / "x", mounts)
+    assert LastWord.beside(tmp_path / "s.db", tmp_path / "x").path is None
+    word, marks = LastWord(tmp_path / "word"), {7: "aa", 8: "bb"}.get
+    assert not word.of("life", marks, 10.0, 3.0), "there is none"
+    assert word.say("life", 7, marks, True, 10.0)
+    assert word.of("life", marks, 12.9, 3.0) and not word.of("life", marks, 13.0, 3.0)
+    assert not word.of("other", marks, 11.0, 3.0) and not word.of("life", {7: "cc"}.get, 11.0, 3.0)
+    assert not word.of("life", marks, 9.0, 3.0), "of a machine that was up for longer"
+    assert word.say("life", 8, marks, False, 11.0) and not word.of("life", marks, 11.0, 3.0)
+    assert word.say("life", 8, marks, True, 11.0)
+    whole = word.path.read_bytes()
+    for torn in (whole[:40], whole.replace(b"bb", b"aa"), b""):
+        word.path.write_bytes(torn)
+        assert not word.of("life", marks, 11.0, 3.0)
+    word.path.unlink()
+    word.path.mkdir()  # it can neither be written nor taken away
+    assert not word.say("life", 9, {9: "dd"}.get, True, 12.0)
+    word.path.rmdir()
+    assert word.say("life", 9, {9: "dd"}.get, True, 12.0)
+
+
 def test_an_empty_store_that_is_not_said_to_be_a_first_start_admits_nobody(tmp_path):
     async def scene():
         async with desk_of(tmp_path, new_installation=False) as all_:
--- a/tests/test_drains_model.py
+++ b/tests/test_drains_model.py
@@ -7,6 +7,9 @@
 
 from gaugehinge.drains.grants import ORIGIN
 from gaugehinge.rehearsal.drainsmodel import (
+    BelievesAnyStore,
+    BelievesForEver,
+    BelievesWhoeverTold,
     ConfirmsByRun,
     FromArrival,
     KillIsProof,
@@ -29,7 +32,16 @@
     assert states >= STATES and transitions > 2 * STATES
 
 
+def ask(*nodes):
+    return tuple(("ask", i) for i in nodes)
+
+
 OPEN, LATE = (("open", 0),), (("answer_late", 0), *[("tick",)] * 4)
+# What one had went to another since a copy of the store was made, and a keeper is back: on the copy; on the
+# copy after one that waited on it was killed; on its own store, while one elsewhere had gone on with a copy.
+WENT_BACK = (("copy",), *ask(1, 0, 0, 1, 1), ("open", 1), ("older",), *ask(0))
+AGAIN = (*WENT_BACK, ("keeper",), *ask(0))
+ELSEWHERE = (("elsewhere",), *[("tick",)] * 6, *ask(1, 1, 1), ("open", 1), ("back_home",), *ask(0))
 
 
 @pytest.mark.parametrize(
@@ -40,6 +52,9 @@
         (kind(RaisesAtOnce), OPEN, 6_000),
         (kind(ConfirmsByRun), (("open", 2),), 40_000),
         (FromArrival, LATE, 25_000),
+        (BelievesAnyStore, WENT_BACK, 6_000),
+        (BelievesWhoeverTold, AGAIN, 6_000),
+        (BelievesForEver, ELSEWHERE, 6_000),
     ],
     ids=lambda each: getattr(each, "__name__", None),
 )
@@ -52,6 +67,17 @@
     assert world.counted() > world.limit
 
 
+@pytest.mark.parametrize("moves", [WENT_BACK, AGAIN, ELSEWHERE])
+def test_a_keeper_that_is_back_believes_its_store_only_where_all_that_was_told_is_in_it(moves):
+    states, _, broken = search(begun(World, moves), 10_000)
+    assert broken is None and states >= 10_000
+
+
+def test_a_keeper_that_was_killed_goes_on_at_once():
+    world = begun(World, (("keeper",), *ask(1, 0, 0, 1, 1)))
+    assert not world.now and world.nodes[1].holding.values[ORIGIN] > 1
+
+
 def test_long_ways_with_clocks_at_odds_lowered_limits_lost_files_and_older_stores_stay_within():
     broken = [found for seed in range(400) if (found := walk(World, seed, 300))]
     assert not broken, broken[0]
