--- a/gaugehinge/drains/keeper.py
+++ b/gaugehinge/drains/keeper.py
@@ -94,6 +94,7 @@
     worst: float = 0.0  # connections to the origin that tenants would use by their allowances
     worst_at: float = float("-inf")
     orders: dict[str, tuple[str, str, bool]] = field(default_factory=dict)  # by router: roll, run, at once
+    sent_out: dict[str, str] = field(default_factory=dict)  # runs told to end, by node, until they say more
     moved: dict[str, str] = field(default_factory=dict)  # modes that the log told last
     last_word: LastWord = field(init=False)
 
@@ -124,6 +125,7 @@
             known = self.grants.words.get(said.node)
             if not self.grants.hear(said.word(report.run), now):
                 return
+            self.sent_out.pop(said.node, None)
             self.lasts[said.node] = Last(said, report.router, report.run, report.since, now)
             self._count(said, report.run)
             if said.servers:
@@ -177,6 +179,8 @@
             grant = self.grants.tell(slot, word, now) if slot is not None else None
             roll, run, hard = self.orders.get(report.router, ("", "", False))
             leave = roll if run == report.run else ""
+            if leave:
+                self.sent_out[said.node] = report.run
             told = Told(
                 life, closing=self.grants.closing, leave=leave, hard=hard and bool(leave),
                 servers=self._asks_list(said.node, now),
@@ -346,6 +350,7 @@
         for node in [node for node in self.counts if node not in self.grants.words]:
             self.counts.pop(node)
             self.lasts.pop(node, None)
+            self.sent_out.pop(node, None)
 
     def _worst(self, store: Store) -> float:
         """Lines to the origin that tenants would have in use if each used its allowance."""
@@ -426,6 +431,8 @@
                 after[ident].update({step.node: step for step in changed})
             now_so = {ident: due.rolls.get(ident, roll) for ident, (_, roll) in rolls.items()}
             told.update(self._orders(now_so, after))
+            # On this thread: an order that was taken back is told to nobody from here on.
+            self.orders = {name: order for name, order in self.orders.items() if told.get(name) == order}
             return wanted
 
         await self.administration.keeper.apply_planned(plan, "drains")
@@ -482,10 +489,13 @@
                 at = float("-inf")
             else:
                 said, at = last.said, last.at
+                # Once told it ends, though its roll is cancelled or goes on without it meanwhile; whether it
+                # heard that is known by its next word alone.
+                leaving = said.leaving or self.sent_out.get(node) == last.run
                 up = now - at < self.grants.lease and said.ready_for > 0.0 and bool(slot.values)
                 fact = Fact(
                     router, last.run, said.zone, up, self._region(said.zone), said.build,
-                    frozenset(said.labels), said.ready_for + now - at, said.leaving, said.closed,
+                    frozenset(said.labels), said.ready_for + now - at, leaving, said.closed,
                     said.busy if up else 0.0, self.told.most_busy if up else 0.0, held,
                     said.rolled,
                 )
--- a/gaugehinge/drains/rolls.py
+++ b/gaugehinge/drains/rolls.py
@@ -253,7 +253,12 @@
             if roll is head:
                 roll = self._head(roll, after, known, now, wall, due)
                 if roll.status == Status.RUNNING.value:
-                    told = self._tell(roll, after, known, now, wall, due, told, overlaps)
+                    others = [
+                        step for other in standing
+                        if other is not head and other.order.kind == roll.order.kind
+                        for step in steps.get(other.ident, ()) if Stage(step.stage) in OUT
+                    ]
+                    told = self._tell(roll, after, known, now, wall, due, told, overlaps, others)
             self._close(roll, steps.get(roll.ident, []), after, due)
         self._forget({roll.ident for roll in standing})
         return due
@@ -355,7 +360,7 @@
 
     def _tell(
         self, roll: Roll, after: dict[str, Step], known: Mapping[str, Fact], now: float, wall: float,
-        due: Due, told: int, overlaps: Callable[[int], bool],
+        due: Due, told: int, overlaps: Callable[[int], bool], others: list[Step],
     ) -> int:
         order = roll.order
         if wall < order.starts or (order.ends and wall >= order.ends):
@@ -367,6 +372,12 @@
         out |= {
             node: known[node] for node, step in after.items() if Stage(step.stage) in OUT and node in known
         }
+        out |= {
+            # Told by a roll that was paused or stopped since, it may not have heard that yet and seem up like
+            # any. Another run of it shows by itself whether it is up, whatever that roll waits for.
+            step.node: fact for step in others
+            if (fact := known.get(step.node)) is not None and fact.run == step.run
+        }
         for node, step in after.items():
             fact = known.get(node)
             if Stage(step.stage) is not Stage.WAITING or fact is None or node in out:
--- a/gaugehinge/rehearsal/drainsplay.py
+++ b/gaugehinge/rehearsal/drainsplay.py
@@ -319,7 +319,7 @@
             child = all_.children["router-0"]
             all_.end("router-0")
             await all_.over("router-0")
-            child.words = ["gaugehinge.rehearsal.faultydrains", *child.words[1:]]
+            child.words = ["gaugehinge.rehearsal.faultydrains", "trusts", *child.words[1:]]
             all_.start("router-0")
             await all_.up("router-0")
         await granted(all_)
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -353,6 +353,18 @@
     assert due.rolls["roll-2"].status == "running" and "roll-3" not in due.rolls
 
 
+def test_one_told_by_a_roll_that_was_paused_counts_for_the_next_before_it_has_heard_of_it():
+    order = RollOrder(Who(all=True), most_out=1, warm_up=1.0)
+    rolls = [Roll("roll-1", 1, order, status="paused"), Roll("roll-2", 2, order)]
+    steps = {roll.ident: [Step(name, i) for i, name in enumerate(fleet())] for roll in rolls}
+    steps["roll-1"][0] = Step("r0", 0, "told", "1")
+    due = Rolls().plan(rolls, steps, {"routers": fleet(), "servers": {}}, 1.0, 1.0)
+    assert not due.steps, "r0 is on its way out"
+    steps["roll-1"][0] = Step("r0", 0, "told", "0")  # the run after it is up, of another build than was meant
+    due = Rolls().plan(rolls, steps, {"routers": fleet(), "servers": {}}, 1.0, 1.0)
+    assert told(due.steps["roll-2"]) == ["r0"]
+
+
 def test_a_node_that_says_that_this_roll_told_it_before_is_not_told_by_a_store_that_went_back():
     facts = fleet(rolled="roll-1")
     roll, steps, _ = rolling(facts)
@@ -644,6 +656,14 @@
             assert (await desk.post(f"/v1/rolls/{ident}/resume")).json()["status"] in ("queued", "running")
             assert (await desk.post(f"/v1/rolls/{ident}/cancel")).json()["status"] == "cancelled"
             assert (await desk.post(f"/v1/rolls/{ident}/resume")).status_code == 409
+
+            def leaving():
+                facts = all_.part.facts(all_.admin.keeper.store, all_.part.clock())["routers"]
+                return [name for name, fact in facts.items() if fact.drains]
+
+            assert leaving() == ["r-1"], "it was told, whatever became of the roll"
+            await until(lambda: not all_.part.orders)
+            assert not (await report(all_, "r-1", 91)).leave and not leaving(), "it has not heard of it"
             assert (await desk.post("/v1/nodes/r-1@0123456789abcdef/gone")).status_code == 409
 
     run(scene)
