--- a/gaugehinge/rehearsal/hardplay.py
+++ b/gaugehinge/rehearsal/hardplay.py
@@ -50,9 +50,11 @@
         self.held: set[str] = set()
 
     async def _again(self, name: str) -> None:
-        await self.all.children[name].over.wait()
-        if name not in self.held:
-            await super()._again(name)
+        child = self.all.children[name]
+        start = child.starts
+        await child.over.wait()
+        if child.starts == start and name not in self.held:
+            self.all.start(name)
 
 
 @dataclass(slots=True)
