--- a/gaugehinge/drains/keeper.py
+++ b/gaugehinge/drains/keeper.py
@@ -26,6 +26,7 @@
 from .api import DrainsApi
 from .forms import NAME, Said, ServerSaid, Told
 from .grants import ORIGIN, SERVERS, Figures, Grants, Ground, Slot, figure
+from .lastword import LastWord, sleepless
 from .rolls import ENDED, MOST_NODES, Fact, Roll, Rolls, Stage, Status, Step, told_as
 
 LIMIT, NODE, GROUND, ROLL, STEP = (
@@ -93,7 +94,9 @@
     worst: float = 0.0  # connections to the origin that tenants would use by their allowances
     worst_at: float = float("-inf")
     orders: dict[str, tuple[str, str, bool]] = field(default_factory=dict)  # by router: roll, run, at once
+    sent_out: dict[str, str] = field(default_factory=dict)  # runs told to end, by node, until they say more
     moved: dict[str, str] = field(default_factory=dict)  # modes that the log told last
+    last_word: LastWord = field(init=False)
 
     def __post_init__(self) -> None:
         told = self.told
@@ -103,6 +106,7 @@
             self.clock(), desk.lease, float(told.closing), told.most_nodes, floors, told.reserve,
             desk.run_mark, desk.life, Ground(),
         )
+        self.last_word = LastWord.beside(desk.keeper.path)
 
     # -- what routers say
 
@@ -121,6 +125,7 @@
             known = self.grants.words.get(said.node)
             if not self.grants.hear(said.word(report.run), now):
                 return
+            self.sent_out.pop(said.node, None)
             self.lasts[said.node] = Last(said, report.router, report.run, report.since, now)
             self._count(said, report.run)
             if said.servers:
@@ -160,6 +165,8 @@
             return None
         said = msgspec.json.decode(raw, type=Said)
         life = self.administration.life
+        if not self.note(store):
+            return None
         item = store.get(NODE, said.node)
         slot = msgspec.json.decode(item.body, type=Slot) if item is not None else None
         with self.lock:
@@ -172,6 +179,8 @@
             grant = self.grants.tell(slot, word, now) if slot is not None else None
             roll, run, hard = self.orders.get(report.router, ("", "", False))
             leave = roll if run == report.run else ""
+            if leave:
+                self.sent_out[said.node] = report.run
             told = Told(
                 life, closing=self.grants.closing, leave=leave, hard=hard and bool(leave),
                 servers=self._asks_list(said.node, now),
@@ -184,6 +193,13 @@
             )
         return msgspec.json.encode(told)
 
+    def note(self, store: Store) -> bool:
+        """On the store's thread, before anything is told by it: up to where it is told by. False: that could
+        not be said, and nothing may be told."""
+        with self.lock:
+            good = self.grants.raises(self.clock())
+        return self.last_word.say(self.administration.life, store.rev, store.mark, good, sleepless())
+
     def _asks_list(self, node: str, now: float) -> bool:
         if now - self.servers_at < LIST_OLD:
             return False
@@ -221,6 +237,10 @@
             )
             with self.lock:
                 self.grants.ground = ground
+                # Killed on this machine and back on the file that it told by: what is held is in there.
+                self.grants.sure = not doubt and self.last_word.of(
+                    self.administration.life, store.mark, sleepless(), self.grants.unraised
+                )
             wanted = [Wanted(GROUND, "ground", encode(ground), held.rev if held else 0)]
             first = {ORIGIN: told.origin, SERVERS: told.servers, **told.limits}
             for name, most in first.items():
@@ -237,6 +257,8 @@
             first_start = ground.admissions == 0 and not ground.doubt
             if first_start:
                 self.grants.began = float("-inf")  # nobody was ever told anything
+            elif self.grants.sure:
+                logger.info("drains: this store has all that was told by it: grants go on at once")
         self.ready = True
 
     def _witness(self) -> str:
@@ -328,6 +350,7 @@
         for node in [node for node in self.counts if node not in self.grants.words]:
             self.counts.pop(node)
             self.lasts.pop(node, None)
+            self.sent_out.pop(node, None)
 
     def _worst(self, store: Store) -> float:
         """Lines to the origin that tenants would have in use if each used its allowance."""
@@ -408,6 +431,8 @@
                 after[ident].update({step.node: step for step in changed})
             now_so = {ident: due.rolls.get(ident, roll) for ident, (_, roll) in rolls.items()}
             told.update(self._orders(now_so, after))
+            # On this thread: an order that was taken back is told to nobody from here on.
+            self.orders = {name: order for name, order in self.orders.items() if told.get(name) == order}
             return wanted
 
         await self.administration.keeper.apply_planned(plan, "drains")
@@ -464,10 +489,13 @@
                 at = float("-inf")
             else:
                 said, at = last.said, last.at
+                # Once told it ends, though its roll is cancelled or goes on without it meanwhile; whether it
+                # heard that is known by its next word alone.
+                leaving = said.leaving or self.sent_out.get(node) == last.run
                 up = now - at < self.grants.lease and said.ready_for > 0.0 and bool(slot.values)
                 fact = Fact(
                     router, last.run, said.zone, up, self._region(said.zone), said.build,
-                    frozenset(said.labels), said.ready_for + now - at, said.leaving, said.closed,
+                    frozenset(said.labels), said.ready_for + now - at, leaving, said.closed,
                     said.busy if up else 0.0, self.told.most_busy if up else 0.0, held,
                     said.rolled,
                 )
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -1,8 +1,10 @@
 """Grants and rolls: hard cases one by one, a router's lines and file, the API, and plays of processes."""
 
+import json
 import socket
 import subprocess
 import sys
+import time
 from contextlib import asynccontextmanager
 from math import inf
 from pathlib import Path
@@ -21,6 +23,7 @@
 from gaugehinge.drains.forms import NAME, Said, ServerSaid, Told
 from gaugehinge.drains.grants import ORIGIN, SERVERS, Grants, Ground, Slot, Word
 from gaugehinge.drains.keeper import KeeperDrains
+from gaugehinge.drains.lastword import LastWord, in_memory
 from gaugehinge.drains.rolls import (
     Burn,
     Fact,
@@ -40,7 +43,7 @@
 from gaugehinge.net.deadlines import Clock, Deadlines
 from gaugehinge.net.pool import Cargo, Pool, RespDialect
 from gaugehinge.placement.shards import Terms
-from gaugehinge.rehearsal.drainsplay import woken
+from gaugehinge.rehearsal.drainsplay import woken, written_ago
 from gaugehinge.rehearsal.hostedplay import CHEAP
 from gaugehinge.rehearsal.plays import run_many
 from gaugehinge.store.keeper import StoreKeeper
@@ -53,6 +56,12 @@
 SEEDS, JOBS = range(1, 6), 5
 
 
+@pytest.fixture(autouse=True)
+def no_last_word(tmp_path):
+    yield
+    LastWord.beside(tmp_path / "store.db").forget()
+
+
 class Desk:
     """A keeper's grants with a store, and nodes that say what they are told to."""
 
@@ -346,6 +355,18 @@
     assert due.rolls["roll-2"].status == "running" and "roll-3" not in due.rolls
 
 
+def test_one_told_by_a_roll_that_was_paused_counts_for_the_next_before_it_has_heard_of_it():
+    order = RollOrder(Who(all=True), most_out=1, warm_up=1.0)
+    rolls = [Roll("roll-1", 1, order, status="paused"), Roll("roll-2", 2, order)]
+    steps = {roll.ident: [Step(name, i) for i, name in enumerate(fleet())] for roll in rolls}
+    steps["roll-1"][0] = Step("r0", 0, "told", "1")
+    due = Rolls().plan(rolls, steps, {"routers": fleet(), "servers": {}}, 1.0, 1.0)
+    assert not due.steps, "r0 is on its way out"
+    steps["roll-1"][0] = Step("r0", 0, "told", "0")  # the run after it is up, of another build than was meant
+    due = Rolls().plan(rolls, steps, {"routers": fleet(), "servers": {}}, 1.0, 1.0)
+    assert told(due.steps["roll-2"]) == ["r0"]
+
+
 def test_a_node_that_says_that_this_roll_told_it_before_is_not_told_by_a_store_that_went_back():
     facts = fleet(rolled="roll-1")
     roll, steps, _ = rolling(facts)
@@ -637,6 +658,14 @@
             assert (await desk.post(f"/v1/rolls/{ident}/resume")).json()["status"] in ("queued", "running")
             assert (await desk.post(f"/v1/rolls/{ident}/cancel")).json()["status"] == "cancelled"
             assert (await desk.post(f"/v1/rolls/{ident}/resume")).status_code == 409
+
+            def leaving():
+                facts = all_.part.facts(all_.admin.keeper.store, all_.part.clock())["routers"]
+                return [name for name, fact in facts.items() if fact.drains]
+
+            assert leaving() == ["r-1"], "it was told, whatever became of the roll"
+            await until(lambda: not all_.part.orders)
+            assert not (await report(all_, "r-1", 91)).leave and not leaving(), "it has not heard of it"
             assert (await desk.post("/v1/nodes/r-1@0123456789abcdef/gone")).status_code == 409
 
     run(scene)
@@ -669,6 +698,64 @@
     run(scene)
 
 
+def test_a_keeper_that_was_killed_grants_at_once_on_the_store_that_it_told_by_and_on_no_other(tmp_path):
+    store = tmp_path / "store.db"
+
+    async def scene():
+        async with desk_of(tmp_path) as all_:
+            await follow(all_, "r-1")
+            older = tmp_path / "older.db"
+            all_.admin.keeper.store.backup(older)
+            await follow(all_, "r-2")
+        async with desk_of(tmp_path) as all_:
+            assert (await follow(all_, "r-3")).number
+            assert (await all_.desk.get("/v1/grants")).json()["settled_in"] == 0
+        LastWord.beside(store).forget()  # the machine was started anew
+        async with desk_of(tmp_path) as all_:
+            assert not all_.part.grants.sure and "just started" in (await refusal(all_, "r-4"))
+        for name in ("store.db-wal", "store.db-shm"):
+            (tmp_path / name).unlink(missing_ok=True)
+        older.rename(store)  # put back with all that lies beside it
+        (tmp_path / "store.db.drains").write_text(json.dumps({"life": all_.admin.life, "admissions": 1}))
+        async with desk_of(tmp_path) as all_:
+            assert not all_.part.grants.ground.doubt and not all_.part.grants.sure
+
+    run(scene)
+
+
+async def refusal(all_, name):
+    for turn in range(1, 50):
+        got = await report(all_, name, turn)
+        if got.refused:
+            return got.refused
+        await trio.sleep(0.05)
+    raise AssertionError("it was not refused")
+
+
+def test_the_last_word_is_in_memory_alone_whole_and_not_old(tmp_path, caplog):
+    mounts = tmp_path / "mounts"
+    mounts.write_text(f"tmpfs {tmp_path} tmpfs rw 0 0\n/dev/sda / ext4 rw 0 0\n")
+    assert in_memory(tmp_path, mounts) and not in_memory(tmp_path / "x", mounts)
+    assert LastWord.beside(tmp_path / "s.db", tmp_path / "x").path is None
+    word, marks = LastWord(tmp_path / "word"), {7: "aa", 8: "bb"}.get
+    assert not word.of("life", marks, 10.0, 3.0), "there is none"
+    assert word.say("life", 7, marks, True, 10.0)
+    assert word.of("life", marks, 12.9, 3.0) and not word.of("life", marks, 13.0, 3.0)
+    assert not word.of("other", marks, 11.0, 3.0) and not word.of("life", {7: "cc"}.get, 11.0, 3.0)
+    assert not word.of("life", marks, 9.0, 3.0), "of a machine that was up for longer"
+    assert word.say("life", 8, marks, False, 11.0) and not word.of("life", marks, 11.0, 3.0)
+    assert word.say("life", 8, marks, True, 11.0)
+    whole = word.path.read_bytes()
+    for torn in (whole[:40], whole.replace(b"bb", b"aa"), b""):
+        word.path.write_bytes(torn)
+        assert not word.of("life", marks, 11.0, 3.0)
+    word.path.unlink()
+    word.path.mkdir()  # it can neither be written nor taken away
+    assert not word.say("life", 9, {9: "dd"}.get, True, 12.0)
+    word.path.rmdir()
+    assert word.say("life", 9, {9: "dd"}.get, True, 12.0)
+
+
 def test_an_empty_store_that_is_not_said_to_be_a_first_start_admits_nobody(tmp_path):
     async def scene():
         async with desk_of(tmp_path, new_installation=False) as all_:
@@ -728,6 +815,14 @@
 # -- processes
 
 
+def test_a_line_of_a_log_that_seems_of_a_moment_from_now_is_not_of_yesterday():
+    wall = 1_700_000_000.25
+    line = time.strftime("%H:%M:%S.500 INFO told to end", time.localtime(wall))
+    assert written_ago(line, wall) == pytest.approx(-0.25)
+    assert written_ago(line, wall + 86_399.5) == pytest.approx(-0.75), "nor one over midnight"
+    assert written_ago(line, wall + 60.0) == pytest.approx(59.75)
+
+
 def test_processes_rolled_under_load_and_faults_stay_within_what_the_stores_count_for_themselves(tmp_path):
     """Beside them a router that trusts its old grant when it wakes: these plays find what they are for."""
     summary, faulty = [], []
