--- a/gaugehinge/emulator/doors.py
+++ b/gaugehinge/emulator/doors.py
@@ -471,26 +471,68 @@
         self.directory = directory
         self.work = 1.0 / capacity
         self.longest_wait = longest_wait
+        self.noted: Callable[..., None] = lambda what, *told: None  # hears of calls, their ends, silences
+        self.routers = 0  # whose second addresses stand behind all of the first ones; 0: there are none
+        self.retired = False  # whether the first addresses have gone, with no word of it
+        self.mute: set[Wire] = set()  # nothing goes out on these any more; until closed
+        self.calls = 0
+        self.open_calls: dict[Wire, int] = {}  # by the connection that they stand open on
+        self.held_until = 0.0  # down with no word of it: answers are held until then
 
     def gone(self, command: Command) -> None:
         return
 
-    def outage(self, until: float) -> None:
-        """Down until then: watches end, calls fail."""
+    def number(self, wire: Wire) -> int:
+        """Whose connection it is."""
+        return wire.router % self.routers if self.routers else wire.router
+
+    def outage(self, until: float, silent: bool = False) -> None:
+        """Down until then: watches end, calls fail. `silent`: nothing is told, and calls stand until then."""
+        if silent:
+            self.held_until = until
+            return
         self.directory.down_until = until
         self.cut()
 
+    def hush(self, first: bool = False) -> None:
+        """All connections that are open fall silent for good, and stay open; new ones are as ever. `first`:
+        those at the first addresses, which have gone from here on."""
+        self.retired = self.retired or first
+        for wire in self.wires - self.mute:
+            if not first or wire.router < self.routers:
+                self.mute.add(wire)
+                self.noted("hushed", self.number(wire), self.open_calls.get(wire, 0))
+
+    def _forget(self, wire: Wire) -> None:
+        super()._forget(wire)
+        self.mute.discard(wire)
+        self._over(wire)
+
+    def _over(self, wire: Wire, rev: int = 0, status: int = 0) -> None:
+        call = self.open_calls.pop(wire, 0)
+        if call:
+            self.noted("told", self.number(wire), call, rev, status)
+
     def request(self, wire: Wire, head: h11.Request, body: bytes) -> None:
+        if self.retired and wire.router < self.routers:
+            self.mute.add(wire)
+        if wire in self.mute:
+            return
         ticket = Ticket()
         wire.tickets.append(ticket)
         answer = self.answer_to(wire, ticket)
         url = urlsplit(head.target.decode("latin-1"))
+        self.calls += 1
+        self.open_calls[wire] = self.calls
+        query = parse_qs(url.query)
+        self.noted("asked", self.number(wire), self.calls, query.get("index"), query.get("wait"))
         if self.directory.down():
+            self._over(wire, 0, 503)
             answer(Act(Manner.WHOLE, http_answer(503, b"down")))
         elif url.path != "/discovery/hosts" or head.method != b"GET":
             answer(Act(Manner.WHOLE, http_answer(404, b"no such thing")))
         else:
-            self._watch(wire, answer, parse_qs(url.query))
+            self._watch(wire, answer, query)
 
     def _watch(self, wire: Wire, answer: Callable[[Act], None], query: dict[str, list[str]]) -> None:
         try:
@@ -515,13 +557,18 @@
             self.deadlines.at(self.clock() + wait, wake)
 
     def _tell(self, wire: Wire, answer: Callable[[Act], None], since: int | None) -> None:
-        if wire not in self.wires:
-            return  # its router went away
+        if wire not in self.wires or wire in self.mute:
+            return  # its router went away, or hears nothing any more
+        if self.held_until > self.clock():
+            self.deadlines.at(self.held_until, self._tell, wire, answer, since)
+            return
         if self.directory.down():
+            self._over(wire, 0, 503)
             answer(Act(Manner.WHOLE, http_answer(503, b"down")))
             return
-        answer(Act(Manner.WHOLE, http_answer(200, self.directory.answer(wire.router, since))))
-        self.directory.told(wire.router)
+        self._over(wire, self.directory.rev, 200)
+        answer(Act(Manner.WHOLE, http_answer(200, self.directory.answer(self.number(wire), since))))
+        self.directory.told(self.number(wire))
 
 
 def _listener(address: tuple[str, int], backlog: int) -> socket.socket:
--- a/gaugehinge/emulator/link.py
+++ b/gaugehinge/emulator/link.py
@@ -27,6 +27,7 @@
 MOST_DATAGRAM = 2048
 SLOW_GRAIN = 0.02  # seconds between two pieces of a slow drip
 LATEST = 0.05  # seconds that a datagram out of order comes late, at most
+FILLERS = 2  # connections that take all places of a listener with none
 AFTER_ERROR = 0.01  # seconds: a lasting error of a socket must not take the core
 GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
@@ -42,6 +43,8 @@
     RESET = "reset"  # each connection is reset after `Fault.after` bytes from one to other
     SLOW = "slow"  # `Fault.rate` bytes a second, each way
     LATE = "late"  # each piece `Fault.delay` seconds later
+    HANGS = "hangs"  # new connections do not come up; those that are open pass as ever. Once it is over, they
+    # come up as the kernel asks again: a second, or three, after they were begun
     LOSSY = "lossy"  # datagrams: `Fault.part` of them lost, as many told twice, as many out of order
 
 
@@ -135,6 +138,7 @@
         self.nursery = nursery
         self.at, self.to, self.source = at, to, source
         self.listening: socket.socket | None = None
+        self.fillers: list[socket.socket] = []  # take the places of those that would come up
         self.joints: set[Joint] = set()  # until closed
         self.there = False  # whether the other side listens
 
@@ -157,15 +161,35 @@
     def look(self) -> None:
         """Listen, or do not."""
         silent = self.holds(True) or self.holds(False)  # then nobody learns that the other side is gone
+        hangs = self.fault.state is State.HANGS
+        if hangs != bool(self.fillers):
+            self.close()
         wanted = (self.there or silent) and self.fault.state is not State.REFUSED
-        if wanted and self.listening is None:
+        if wanted and hangs:
+            self._hang()
+        elif wanted and self.listening is None:
             self.listening = listener(self.at, BACKLOG)
             self.nursery.start_soon(self._accept, self.listening)
         elif not wanted:
             self.close()
 
+    def _hang(self) -> None:
+        """Listen with no place left: the kernel drops what asks for one."""
+        if self.fillers:
+            return
+        self.listening = listener(self.at, 0)
+        for _ in range(FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            with suppress(BlockingIOError):
+                filler.connect(self.at)
+            self.fillers.append(filler)
+
     def close(self) -> None:
         """New connections are refused from here on."""
+        for filler in self.fillers:
+            shut(filler)
+        self.fillers.clear()
         if self.listening is not None:
             shut(self.listening)
             self.listening = None
--- a/gaugehinge/emulator/listparty.py
+++ b/gaugehinge/emulator/listparty.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+from ..histories.events import Hushed, ListAsked, ListChanged, ListTold, Outage, Recorder
 from ..net.deadlines import Clock, Deadlines
 from .directory import Directory, Entry
 from .doors import DirectoryDoor
@@ -30,6 +31,7 @@
 
     def __init__(self, part: DirectoryPart, note: Callable[[str], None]) -> None:
         self.part, self.note = part, note
+        self.recorder = recorder = Recorder(Path(part.folder), part.name)
         self.path = Path(part.files) / "list"
         clock = Clock()
         self.door: DirectoryDoor | None = None  # until it serves
@@ -45,6 +47,9 @@
         for each in part.entries:  # those that no file told of, with nothing said of them yet
             if each.uid not in self.directory.entries and each.uid not in self.directory.former:
                 self.directory.former[each.uid] = self._entry(each)
+        for each in self.directory.entries.values():  # one with an older file tells that from here on
+            now = recorder.now()
+            recorder.put(ListChanged(now, part.name, self.directory.rev, each.uid, each.state))
         self._keep()
 
     def _read(self) -> Kept:
@@ -73,14 +78,28 @@
 
     def _noted(self, what: str, *told: Any) -> None:
         if what == "change":
+            rev, uid, state, _ = told
+            self.recorder.put(ListChanged(self.recorder.now(), self.part.name, rev, uid, state))
             self._keep()
         elif what == "told":
             states = {uid: entry.state for uid, entry in self.directory.entries.items()}
             draining = [uid for uid, state in states.items() if state == "draining"]
             say(told=told[0], rev=told[1], draining=draining)
 
+    def _called(self, what: str, router: int, call: int, *more: Any) -> None:
+        """A call, its end, or a silence, for the history."""
+        head = (self.recorder.now(), self.part.name, f"router-{router}", call)
+        if what == "asked":
+            since, wait = (int(each[0]) if each and each[0].isdigit() else None for each in more)
+            self.recorder.put(ListAsked(*head, -1 if since is None else since, (wait or 0) / 1000.0))
+        elif what == "told":
+            self.recorder.put(ListTold(*head, *more))
+        else:
+            self.recorder.put(Hushed(*head))
+
     def order(self, told: dict[str, Any]) -> None:
-        """A change of the list, or a time for which discovery answers with an error, is empty or stale."""
+        """A change of the list, or a time for which discovery answers with an error, is empty or stale; all
+        connections fall silent (`hush`) or are reset; the first addresses go (`retire`)."""
         uid, now = told.get("uid"), self.deadlines.clock()
         if uid is not None:
             held = self.directory.entries.get(uid)
@@ -88,7 +107,15 @@
             if held is None or any(getattr(held, name) != value for name, value in fields.items()):
                 self.directory.change(uid, **fields)
         if "down" in told and self.door is not None:
-            self.door.outage(now + told["down"])
+            at = self.recorder.now()
+            self.recorder.put(Outage(at, self.part.name, at + told["down"]))
+            self.door.outage(now + told["down"], bool(told.get("silent")))
+        if told.get("hush") and self.door is not None:
+            self.door.hush()
+        if told.get("retire") and self.door is not None:
+            self.door.hush(first=True)
+        if told.get("reset") and self.door is not None:
+            self.door.cut()
         if "stale" in told:
             self.directory.freeze(now + told["stale"])
         if "empty" in told:
@@ -112,6 +139,8 @@
             nursery, self.deadlines, self.directory, self.part.seed, CAPACITY, LONGEST_WAIT
         )
         self.door.addresses = [tuple(each) for each in self.part.listen]
+        self.door.routers = len(self.part.listen) // 2 if self.part.moves else 0
+        self.door.noted = self._called
         nursery.start_soon(self.deadlines.run)
         self.door.open()
         await trio.lowlevel.checkpoint()
--- a/gaugehinge/emulator/party.py
+++ b/gaugehinge/emulator/party.py
@@ -84,6 +84,7 @@
     lateness: float
     seed: int
     rev: int
+    moves: bool = False  # `listen` has a second address of each router behind all first ones
 
 
 AnyPart = ServerPart | OriginPart | DirectoryPart
--- a/gaugehinge/histories/breaks.py
+++ b/gaugehinge/histories/breaks.py
@@ -23,6 +23,13 @@
     born: str = "of "  # begins a value that nobody wrote: the origin makes it up, and the key follows
     unknown: float = 5.0  # seconds for which a call that broke off may still be under way at the keeper
     search: int = 200_000  # configurations that the search of one register looks at, at most
+    left: float = 0.5  # seconds after a client closed in which what it waited for may still be sent on
+    pushed: bool = False  # lists are pushed to an agent: what that has counts as told at once
+    ask: float = 10.0  # seconds for which a router with no watch is held to the list that it has
+    silence: float = 6.0  # seconds after which what a silent watch missed counts as told
+    behind_wait: float = 2.0  # or so long after the wait of the call that stood open, if that is later
+    moved_after: float = 4.0  # seconds after SIGHUP from which on what is told elsewhere counts
+    watch_gap: float = 0.2  # seconds after an answer within which the next call goes on with a watch
     moved: tuple[str, ...] = ("/shards/", "/rolls/", "/servers/")  # in paths of what the keeper changes
 
 
--- a/gaugehinge/histories/events.py
+++ b/gaugehinge/histories/events.py
@@ -42,11 +42,19 @@
     """A client read an answer, or saw its connection end. More than one for an ident is a break."""
 
     ident: str
-    outcome: str  # `settled`, `bounced`, `forfeited`, `lost` (ended or nothing before the abandon time)
+    outcome: str  # `settled`, `bounced`, `forfeited`, `lost` (ended or nothing before the abandon time),
+    # `crossed` (the connection ended with no byte of an answer: taken for unread, and sent once more)
     value: str = ""  # of a read or a receipt
     come_back: float = -1.0  # seconds that a bounce told; -1: none
 
 
+class Gone(Event, frozen=True, tag="gone"):
+    """A client closed a connection; what it still waited for there nobody waits for any more."""
+
+    router: str
+    idents: list[str]
+
+
 class Leg(Event, frozen=True, tag="leg"):
     """A server or the origin got the last byte of a command."""
 
@@ -82,7 +90,8 @@
     """A party's process changed."""
 
     name: str
-    state: str  # `started`, `ready`, `killed`, `told_to_end`, `ended`, `stopped`, `continued`
+    state: str  # `started`, `ready`, `killed`, `told_to_end`, `told_anew` (SIGHUP, its file is another),
+    # `ended`, `stopped`, `continued`
     files: str = ""  # `same`, `older`, `torn`, `empty`, `unwritable`, `none`
 
 
@@ -112,6 +121,45 @@
     only: bool
 
 
+class ListChanged(Event, frozen=True, tag="list_changed"):
+    """Discovery's list has something new: from here on it is told."""
+
+    rev: int
+    server: str
+    state: str  # `ready`, `draining`, `gone`
+
+
+class ListAsked(Event, frozen=True, tag="list_asked"):
+    """A router's call for the list came to discovery."""
+
+    router: str
+    call: int  # its number
+    since: int  # version; -1: the whole list
+    wait: float  # seconds that it may stand open; 0: it is to be answered at once
+
+
+class ListTold(Event, frozen=True, tag="list_told"):
+    """A call is over: its answer is written, or its connection has ended."""
+
+    router: str
+    call: int
+    rev: int = 0  # up to which it tells
+    status: int = 0  # 200, 503; 0: no answer
+
+
+class Hushed(Event, frozen=True, tag="hushed"):
+    """A router's connection to discovery fell silent and stays open: nothing comes on it any more."""
+
+    router: str
+    call: int = 0  # that stood open on it; 0: none
+
+
+class Outage(Event, frozen=True, tag="outage"):
+    """Discovery is down from here on; watches end, calls fail."""
+
+    until: float
+
+
 class Stall(Event, frozen=True, tag="stall"):
     """The play's own loop, on which clients and links run, stood for so long: the machine was too busy."""
 
@@ -125,7 +173,8 @@
 
 
 AnyEvent = (
-    OpBegan | OpEnded | Leg | Connections | Link | Process | Change | Placed | Stall | Note
+    OpBegan | OpEnded | Gone | Leg | Connections | Link | Process | Change | Placed | Stall | Note
+    | ListChanged | ListAsked | ListTold | Hushed | Outage
 )
 
 
--- a/gaugehinge/rehearsal/crowd.py
+++ b/gaugehinge/rehearsal/crowd.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from ..histories.events import OpBegan, OpEnded, Recorder
+from ..histories.events import Gone, OpBegan, OpEnded, Recorder
 from ..net.resp import BULK, ERROR, Malformed, Parser, bulk
 from ..net.sockets import connect, receive, send_all, shut, silent, tcp
 
@@ -17,6 +17,8 @@
 AWAY_TIME = 0.5  # seconds for which a client keeps off a router that was gone
 LATE = 1.0  # seconds beyond the abandon time for which a late answer is looked for
 MEMORY_ROOM = 0.5  # seconds before the end of a mark's memory in which no repeat is begun
+REST_MOST = 60.0  # seconds that a client rests at most
+MOST_CROSSED = 3  # times in a row that an operation is sent once more
 RETRY = 0.2  # seconds, where a bounce tells no time; up to twice that
 
 
@@ -48,6 +50,9 @@
     wait: float = 2.0  # seconds that a client waits
     tries: int = 3  # of one operation, the first one included
     memory: float = 9.0  # seconds for which marks are remembered: no repeat after that
+    leaves: float = 0.0  # part of the operations whose client closes its connection before the answer
+    leaves_after: tuple[float, float] = (0.05, 0.5)  # seconds
+    crosses: bool = False  # what a connection ended under, with no byte of an answer, is sent once more
 
 
 @dataclass(slots=True, eq=False)
@@ -58,6 +63,7 @@
     parser: Parser
     idle_since: float
     last: str = ""  # the operation that was answered on it
+    ended: bool = False  # by the router, with no byte of an answer
 
 
 @dataclass(slots=True, eq=False)
@@ -81,6 +87,8 @@
     bounced: int = 0
     forfeited: int = 0
     lost: int = 0
+    left: int = 0  # their clients closed first
+    crossed: int = 0  # with the end of their connection
     no_router: int = 0  # operations that found none to be sent to
 
 
@@ -101,6 +109,10 @@
         self.open = 0  # operations and loads that are not over
         self.quiet = trio.Event()
         self.quiet.set()
+        self.idle_most = IDLE_MOST
+        self.closed: dict[int, float] = {}  # routers that new connections come to no more, from a time on
+        self.leaving: set[int] = set()  # told to end: all that stays open there is used, in turn
+        self.killed: set[int] = set()  # whose ends of connections are no ends, but resets
         self._number = 0
 
     # -- the load
@@ -173,15 +185,29 @@
     async def _try(
         self, party: Party, kind: Kind, key: str, shape: Shape, mark: str, first: str
     ) -> tuple[str, str, float]:
-        """One operation: its id, its outcome, and the seconds that a bounce told."""
-        found = await self._line(party, shape.wait)
-        if found is None:
-            self.tally.no_router += 1
-            return "", "", -1.0
-        router, line = found
+        """One operation, and once more what crossed with the end of its connection: the first one's id, the
+        last one's outcome, and the seconds that a bounce told."""
+        crossed = 0
+        while True:
+            found = await self._line(party, shape.wait)
+            if found is None:
+                self.tally.no_router += 1
+                return "", "", -1.0
+            ident, outcome, away = await self._exchange(party, *found, kind, key, shape, mark, first)
+            crossed += 1
+            if outcome != "crossed" or crossed > MOST_CROSSED:
+                return first or ident, outcome, away
+            first, mark = first or ident, mark or f"m{ident}"
+
+    def _words(
+        self, party: Party, router: int, kind: Kind, key: str, shape: Shape, mark: str, first: str
+    ) -> tuple[str, list[str], OpBegan]:
+        """A new operation's id, its command, and its begin for the history."""
         self._number += 1
         ident = f"{party.name}-{self._number}"
         labels = f"c={kind.traffic},d={int(shape.wait * 1000)}"
+        if not self.secrets[party.tenant]:
+            labels += f",t={party.tenant}"
         if kind.effect == "deduplicated":
             mark = mark or f"m{ident}"
             labels += f",k={mark}"
@@ -192,17 +218,34 @@
         words = ["KV.SET" if kind.write else "KV.GET", key, ident, labels]
         if kind.write:
             words.append(f"{party.tenant}|{ident}")
-        recorder, router_name = party.recorder, f"router-{router}"
-        began = recorder.now()
-        recorder.put(OpBegan(
-            began, party.name, ident, router_name, party.tenant, kind.traffic, kind.effect, key, kind.write,
-            shape.wait, mark, first,
-        ))
         self.tally.sent += 1
-        reply = None
-        with trio.move_on_after(shape.wait + LATE):
+        return ident, words, OpBegan(
+            party.recorder.now(), party.name, ident, f"router-{router}", party.tenant, kind.traffic,
+            kind.effect, key, kind.write, shape.wait, mark, first,
+        )
+
+    async def _exchange(
+        self, party: Party, router: int, line: Line, kind: Kind, key: str, shape: Shape, mark: str = "",
+        first: str = "",
+    ) -> tuple[str, str, float]:
+        """An operation on a connection, and its answer."""
+        ident, words, begin = self._words(party, router, kind, key, shape, mark, first)
+        recorder = party.recorder
+        recorder.put(begin)
+        reply, time = None, shape.wait + LATE
+        leaves = shape.leaves > 0 and self.draw.random() < shape.leaves
+        if leaves:
+            time = self.draw.uniform(*shape.leaves_after)
+        with trio.move_on_after(time) as limit:
             reply = await self._ask(line, words)
+        if leaves and limit.cancelled_caught:
+            shut(line.raw)
+            recorder.put(Gone(recorder.now(), party.name, f"router-{router}", [ident]))
+            self.tally.left += 1
+            return ident, "left", -1.0
         outcome, value, away = read_answer(reply)
+        if outcome == "lost" and shape.crosses and line.ended and router not in self.killed:
+            outcome = "crossed"
         setattr(self.tally, outcome, getattr(self.tally, outcome) + 1)
         recorder.put(OpEnded(recorder.now(), party.name, ident, outcome, value, away))
         if reply is None:
@@ -212,6 +255,72 @@
             party.lines.setdefault(router, []).append(line)
         return ident, outcome, away
 
+    # -- clients of other manners
+
+    def rest(self, router: int, count: int, shape: Shape, at: Callable[[int], float]) -> None:
+        """So many clients that ask once at a router, and rest until it ends their connection, or until the
+        time `at` of their number (0: none), and write in that very moment."""
+        draw = random.Random(self.draw.random())
+        for number in range(count):
+            self._begin()
+            party = draw.choice(self.parties)
+            kind, chance = draw.choice(KINDS), draw.random()
+            self.nursery.start_soon(self._rest, party, router, kind, shape, at(number), chance)
+
+    async def _rest(
+        self, party: Party, router: int, kind: Kind, shape: Shape, at: float, chance: float
+    ) -> None:
+        try:
+            line = await self._open(party, router)
+            if line is None:
+                return
+            read = KINDS[0]
+            _, outcome, _ = await self._exchange(party, router, line, read, f"r{int(chance * 200)}", shape)
+            if outcome not in ("settled", "bounced", "forfeited"):
+                return
+            party.lines[router].remove(line)
+            with trio.move_on_at(at or trio.current_time() + REST_MOST):
+                await trio.lowlevel.wait_readable(line.raw)
+            key = f"r{int(chance * 1000)}"
+            ident, outcome, _ = await self._exchange(party, router, line, kind, key, shape)
+            if outcome == "crossed":
+                await self._try(party, kind, key, shape, f"m{ident}", ident)
+        finally:
+            self._end()
+
+    def burst(self, router: int, count: int, stays: float, shape: Shape) -> None:
+        """A client that sends so many commands in one write, and closes so many seconds later."""
+        self._begin()
+        party = self.draw.choice(self.parties)
+        self.nursery.start_soon(self._burst, party, router, count, stays, shape, self.draw.random())
+
+    async def _burst(
+        self, party: Party, router: int, count: int, stays: float, shape: Shape, chance: float
+    ) -> None:
+        draw = random.Random(chance)
+        try:
+            line = await self._open(party, router)
+            if line is None:
+                return
+            told, idents = b"", []
+            for _ in range(count):
+                kind = draw.choice(KINDS[:2])
+                ident, words, begin = self._words(party, router, kind, f"b{draw.random()}", shape, "", "")
+                party.recorder.put(begin)
+                told += b"*%d\r\n" % len(words) + b"".join(bulk(word.encode()) for word in words)
+                idents.append(ident)
+            try:
+                await send_all(line.raw, told)
+                await trio.sleep(stays)
+            except (OSError, trio.ClosedResourceError):
+                pass
+            finally:
+                shut(line.raw)
+                party.recorder.put(Gone(party.recorder.now(), party.name, f"router-{router}", idents))
+                self.tally.left += len(idents)
+        finally:
+            self._end()
+
     async def _ask(self, line: Line, words: list[str]) -> bytes | None:
         """A command and its answer; None where the connection ended."""
         try:
@@ -220,9 +329,13 @@
             while (message := line.parser.next()) is None:
                 data = await receive(line.raw)
                 if not data:
+                    line.ended = not len(line.parser)
                     return None
                 line.parser.feed(data)
-        except (OSError, trio.ClosedResourceError, Malformed):
+        except (OSError, trio.ClosedResourceError):
+            line.ended = not len(line.parser)
+            return None
+        except Malformed:
             return None
         return message.raw
 
@@ -236,7 +349,9 @@
                 router = (party.home + step) % count
                 if party.away.get(router, 0.0) > trio.current_time():
                     continue
-                line = self._idle(party, router) or await self._open(party, router)
+                line = self._idle(party, router)
+                if line is None and self.closed.get(router, trio.current_time()) >= trio.current_time():
+                    line = await self._open(party, router)
                 if line is not None:
                     return router, line
                 party.away[router] = trio.current_time() + AWAY_TIME
@@ -247,10 +362,10 @@
     def _idle(self, party: Party, router: int) -> Line | None:
         lines = party.lines.get(router, [])
         while lines:
-            line = lines.pop()
+            line = lines.pop(0 if router in self.leaving else -1)
             if not silent(line.raw):
                 self._look(party, line)
-            elif line.idle_since > trio.current_time() - IDLE_MOST:
+            elif line.idle_since > trio.current_time() - self.idle_most:
                 return line
             shut(line.raw)
         return None
@@ -273,6 +388,9 @@
             with trio.move_on_after(CONNECT_TIME):
                 raw.bind((self.source, 0))
                 await connect(raw, self.doors[router])
+                if not self.secrets[party.tenant]:  # a platform's router knows none
+                    good = True
+                    return line
                 reply = await self._ask(line, ["AUTH", party.tenant, self.secrets[party.tenant]])
                 good = reply == b"+OK\r\n"
         except OSError:
--- a/gaugehinge/rehearsal/plays.py
+++ b/gaugehinge/rehearsal/plays.py
@@ -28,7 +28,7 @@
 from . import outcome as outcomes
 from .outcome import Outcome
 
-PARTS = ("fleet", "recovery", "placement", "drains", "all")
+PARTS = ("fleet", "recovery", "placement", "drains", "all", "standing")
 LIFE = 300.0  # seconds of one play, on a machine with whatever load
 LAST_WORDS = 300  # characters of what a play that could not be played wrote last
 DEEDS = "deeds.json"
