--- a/gaugehinge/rehearsal/standingplay.py
+++ b/gaugehinge/rehearsal/standingplay.py
@@ -446,7 +446,7 @@
         closing = trio.current_time() + 0.3 + CLOSING
         # Some write when their connection ends, some all around the times at which it may.
         def at(turn: int) -> float:
-            return 0.0 if turn % 3 == 0 else closing + self.chance.uniform(-0.02, 0.12)
+            return 0.0 if turn % 3 == 0 else closing + self.chance.uniform(-0.06, 0.06)
 
         all_.crowd.rest(number, 24, shape, at)
         await trio.sleep(0.3)
@@ -506,9 +506,11 @@
         mix=(("read", 0.5), ("put", 0.2), ("move", 0.15), ("book", 0.15)),
     )
     async with company(folder, seed, PLAN, KINDS[start]) as all_:
+        await all_.ready()
         for name, words in (builds or {}).items():
             all_.children[name].words = words
             all_.kill(name)
+            await all_.over(name)
             all_.start(name)
         await all_.ready()
         lasts = max((deed.at for deed in plan), default=0.0) + ENDS[case]
--- /dev/null
+++ b/tests/test_left_waiting.py
@@ -0,0 +1,37 @@
+"""A client that sends more at once than a connection may have in hand, and goes."""
+
+import trio
+
+from gaugehinge.net.clients import MOST_PIPELINED
+from gaugehinge.net.resp import bulk
+from tests.helper import SETTINGS, Cache, fleet
+
+BY = 5.0  # seconds; an operation here waits for five minutes
+PATIENT = {**SETTINGS["trafficTypes"][0], "promisedTimeUs": 300_000_000}
+
+
+def command(number):
+    words = [b"KV.GET", b"k%d" % number, b"a%d" % number, b"c=read,d=300000"]
+    return b"*4\r\n" + b"".join(map(bulk, words))
+
+
+def test_one_that_goes_with_more_sent_than_may_be_in_hand_leaves_nothing_behind(tmp_path):
+    """Paused, its connection was not read on, and its end was seen only once an answer was due: what waited
+    was sent on for nobody, and so was what stood unread behind it."""
+
+    async def scene():
+        settings = {**SETTINGS, "trafficTypes": [PATIENT]}
+        async with fleet(tmp_path, [Cache("stall")], settings=settings) as made:
+            client = await made.client()
+            exchanges, connections = made.service.dispatch.exchanges, made.service.clients.connections
+            await client.stream.send_all(b"".join(map(command, range(MOST_PIPELINED + 8))))
+            with trio.fail_after(BY):
+                while not any(each.paused for each in connections):
+                    await trio.sleep(0.01)
+            await client.stream.aclose()
+            with trio.move_on_after(BY):
+                while len(exchanges) or len(connections):
+                    await trio.sleep(0.01)
+            assert not len(exchanges) and not len(connections)
+
+    trio.run(scene)
