--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -16,6 +16,7 @@
     Outage,
     Process,
 )
+from gaugehinge.histories.lists import clock
 from gaugehinge.rehearsal import plays, standingplay
 from gaugehinge.rehearsal.brokenterms import FINDS
 
@@ -46,7 +47,7 @@
     """When the router counts as told, to a tenth of a second; 99: not by then."""
     for tenth in range(100, 990):
         at = tenth / 10.0 + 0.05
-        if [each.rule for each in check([*history, *sent(at)], bounds)]:
+        if clock([*history, *sent(at)], bounds):
             return round(at - 0.05 - bounds.drain, 1)
     return 99.0
 
@@ -86,7 +87,7 @@
     # From a new process's first moment: what the former one was told plays no part.
     anew = [Process(11.9, "play", R, "killed"), Process(12.0, "play", R, "started")]
     history = begun(*anew)
-    assert not check([*history, *sent(12.4)], PUSHED) and check([*history, *sent(12.6)], PUSHED)
+    assert not clock([*history, *sent(12.4)], PUSHED) and clock([*history, *sent(12.6)], PUSHED)
 
 
 def test_a_quarter_of_what_waited_may_be_sent_on_late_and_four_at_least():
