--- a/gaugehinge/rehearsal/brokenterms.py
+++ b/gaugehinge/rehearsal/brokenterms.py
@@ -6,14 +6,18 @@
 
 import runpy
 import sys
+from collections.abc import Callable
 from math import inf
 
 from ..net import discovery
 from ..net.clients import Client, Clients, _no_more
 from ..net.discovery import Discovery, Watch
 from ..net.dispatch import Dispatch
+from ..net.pool import Cargo
+from ..terms import Operation
 
 ASLEEP = 5.0  # seconds
+QUEUED, NO_HANDLE = 1.0, -1  # seconds that an operation stands in the queue
 READS_ON = 0.06  # seconds after the end of a connection
 
 FINDS = {"deaf": "clock", "sleeps": "clock", "unmoved": "clock", "stays": "gone", "reads_on": "crossed"}
@@ -40,7 +44,14 @@
 
 
 def stays() -> None:
-    """It goes on with what clients asked that have gone."""
+    """It has a queue, and goes on with what clients asked that have gone."""
+    right = Dispatch.submit
+
+    def submit(self: Dispatch, operation: Operation, cargo: Cargo, answer: Callable[[bytes], None]) -> int:
+        self.deadlines.at(self.clock() + QUEUED, right, self, operation, cargo, answer)
+        return NO_HANDLE
+
+    Dispatch.submit = submit
     Dispatch.client_gone = lambda self, handle: None
 
 
