--- a/gaugehinge/emulator/listparty.py
+++ b/gaugehinge/emulator/listparty.py
@@ -84,7 +84,7 @@
         uid, now = told.get("uid"), self.deadlines.clock()
         if uid is not None:
             held = self.directory.entries.get(uid)
-            fields = {"state": told["state"], "boot_ms": told["boot_ms"]}
+            fields = {name: told[name] for name in ("state", "boot_ms", "zone") if name in told}
             if held is None or any(getattr(held, name) != value for name, value in fields.items()):
                 self.directory.change(uid, **fields)
         if "down" in told and self.door is not None:
--- a/gaugehinge/placement/admission.py
+++ b/gaugehinge/placement/admission.py
@@ -39,6 +39,7 @@
     servers: Sequence[Server]
     each: float  # operations a second that a server of weight 1 bears
     pinned: Mapping[str, float]  # operations a second, by region, without the shard that is asked for
+    heard: bool = True  # whether any router has told of its list since the keeper's start
 
     def bears(self, region: str) -> float:
         """Operations a second that a region bears with its heaviest zone or server lost."""
@@ -61,14 +62,19 @@
         """Whether a server stands there."""
         return any(server.up and server.zone in self.regions[region] for server in self.servers)
 
-    def check(self, asked: Sequence[str], allowance: float) -> None:
-        """A pin to regions in order; its load counts at the first one. Raises Refused."""
+    def check(self, asked: Sequence[str], allowance: float, held: float = 0.0) -> None:
+        """A pin to regions in order; its load counts at the first one. `held`: operations a second for which
+        this shard counts there already. Raises Refused."""
         for place, name in enumerate(asked):
             if name not in self.regions:
                 detail = f"{name!r} is none; accepted: {', '.join(sorted(self.regions))}"
                 raise Refused(422, "unknown region", detail, f"regions[{place}]")
             if name in asked[:place]:
                 raise Refused(422, "invalid", f"{name!r} is named twice", f"regions[{place}]")
+        if not self.heard:
+            # Not that there is no server: a caller who is told that would give up.
+            detail = "no router has told of its servers since the keeper's start; ask again in a moment"
+            raise Refused(503, "servers not known yet", detail, "regions")
         for place, name in enumerate(asked):
             if not self.staffed(name):
                 others = ", ".join(each for each in sorted(self.regions) if self.staffed(each)) or "none"
@@ -76,13 +82,15 @@
                 raise Refused(409, "no server there", detail, f"regions[{place}]")
         first = asked[0]
         room = self.room(first)
-        if allowance > room + 1e-9:
+        # Where servers were lost behind a pin, no room is left: its own tenant may still take less of it, or
+        # change its other terms.
+        if allowance > max(room, held) + 1e-9:
             others = [each for each in sorted(self.regions) if each != first and self.room(each) >= allowance]
             told = ", ".join(others) or "no other region"
             detail = (
                 f"{first!r} bears {self.bears(first):.1f} operations a second with a zone or server lost, "
                 f"{self.pinned.get(first, 0.0):.1f} are pinned there; "
-                f"accepted: an allowance up to {room:.1f}, or first in {told}"
+                f"accepted: an allowance up to {max(room, held):.1f}, or first in {told}"
             )
             raise Refused(409, "region full", detail, "regions[0]")
 
--- a/gaugehinge/placement/forms.py
+++ b/gaugehinge/placement/forms.py
@@ -85,6 +85,17 @@
     asked_at: float = 0.0
     crowd: str = ""  # servers that stood when it was confined: copies may be left there
     confined_at: float = 0.0
+    former: dict[str, float] = {}  # on its way: operations a second at regions that routers may still act by
+
+    @property
+    def counted(self) -> dict[str, float]:
+        """Operations a second that count at regions: where it is, goes to, and may still be."""
+        found = dict(self.former)
+        for terms in (self.now, self.then):
+            if terms is not None and terms.regions:
+                first = terms.regions[0]
+                found[first] = max(found.get(first, 0.0), self.allowance)
+        return found
 
     @property
     def ends(self) -> bool:
--- a/gaugehinge/placement/keeper.py
+++ b/gaugehinge/placement/keeper.py
@@ -10,7 +10,8 @@
 
 import re
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -22,13 +23,13 @@
 
 from ..admin.app import answer, if_match, once, read
 from ..admin.keep import KeepPlacement
-from ..admin.service import TENANT, TOMBSTONE, Administration, Caller, Wrong
+from ..admin.service import SERVER, TENANT, TOMBSTONE, Administration, Caller, Wrong
 from ..admin.types import Kept
 from ..store.keeper import Overloaded
 from ..store.store import Full, Store, Wanted, encode
 from ..tenancy.feed import Report
 from ..tenancy.lease import Ledger
-from .admission import Budget, Ground, check_count
+from .admission import Budget, Ground, Server, check_count
 from .admission import Refused as NotTaken
 from .desk import SHARD, Desk, life_of, living
 from .forms import (
@@ -79,6 +80,8 @@
         self.disturbed: set[str] = set()  # zones whose servers moved, until that is written
         self.back = False  # a router acts by a history that this copy of the store does not have
         self.since: dict[tuple[str, int], float] = {}  # when a condition was first seen; follows the work
+        self.ordered: frozenset[str] = frozenset()  # servers that operators let drain; follows the store
+        self.crammed: set[str] = set()  # regions where more is pinned than they bear now
         self._wake = trio.Event()
         self._note: tuple[int, list[tuple[str, float]]] = (0, [])
 
@@ -209,12 +212,13 @@
 
     def _work(self) -> list[tuple[str, Pinned, int]]:
         self.desk.refresh(self.keeper.store)
+        self._hear_orders(self.keeper.store)
         return [(ident, *self.desk.rows[ident]) for ident in sorted(self.desk.restless)]
 
     def _event(self, ident: str, row: Pinned, rev: int) -> Event | None:
         stage, wall = Stage(row.stage), self.keeper.clock()
         if row.at and wall >= row.at and stage in (Stage.ASKED, *REST):
-            stands = {server.zone for server in self.servers.known.values() if server.up}
+            stands = {server.zone for server in self._standing_servers() if server.up}
             return Event.DUE if row.then and stands & {z for zones in row.then.zones for z in zones} else None
         if stage is Stage.SPREADING:
             return None if self.acting(rev, False) else Event.FOLLOW
@@ -248,6 +252,8 @@
                 logger.info("shard {} of {} gone", row.shard, row.tenant)
                 continue
             after = living(row, life, now)
+            if life.stage in REST or life.left:
+                after = msgspec.structs.replace(after, former=_former(row, life))
             if event is Event.FOLLOW and life.now is not None and life.now.only:
                 after = self._note_copies(store, after, wanted, now)
             if life.stage is not before.stage:
@@ -290,6 +296,7 @@
     def _sweep(self, store: Store, now: float) -> list[Wanted]:
         """What belongs to tenants that are gone, and lists of servers that no shard names any more."""
         self.desk.refresh(store)
+        self._look_at_room(store)
         stands = {number for number, _ in _tenants(store)}
         gone = [each for each in self.desk.rows.items() if each[1][0].incarnation not in stands]
         used = {row.crowd for row, _ in self.desk.rows.values()}
@@ -299,6 +306,23 @@
         left = [item for item in store.items(CROWD, "", SWEPT) if item.ident not in used]
         return wanted + [Wanted(CROWD, item.ident, None, item.rev) for item in left]
 
+    def _look_at_room(self, store: Store) -> None:
+        """Pins stay where servers are lost behind them: that there is too little for them is told once."""
+        if not self.servers.digest:
+            return
+        ground = self._ground(store, "")
+        for region in self.told.regions:
+            bears, pinned = ground.bears(region), ground.pinned.get(region, 0.0)
+            if (pinned > bears) is (region in self.crammed):
+                continue
+            told = "less than" if pinned > bears else "again"
+            logger.log(
+                "WARNING" if pinned > bears else "INFO",
+                "region {} bears {} what is pinned: {:.1f}/s with a zone or server lost, {:.1f}/s pinned",
+                region, told, bears, pinned,
+            )
+            self.crammed ^= {region}
+
     def _alarms(
         self, store: Store, now: float, doubts: dict[tuple[int, str], Doubt], disturbed: set[str]
     ) -> list[Wanted]:
@@ -401,7 +425,9 @@
                 if row is None:
                     check_count(len(rows), self.told.shards)
                 allowance = _afford(kept, rows, shard, wanted.allowance)
-                self._ground(f"{kept.incarnation}/{shard}").check(wanted.regions, allowance)
+                held = row.counted.get(wanted.regions[0], 0.0) if row else 0.0
+                ground = self._ground(store, f"{kept.incarnation}/{shard}")
+                ground.check(wanted.regions, allowance, held)
                 budget = self._spend(store, kept.incarnation, now)
                 terms = self._terms(wanted.regions, wanted.hold == "only")
                 event = Event.LATER if wanted.at > now else Event.ASK
@@ -414,7 +440,7 @@
                 kept.incarnation, name, shard, prefixes, allowance, store.rev + 1, life.stage.value, now,
                 regions=wanted.regions, hold=wanted.hold, asked_allowance=wanted.allowance,
                 asked_at=wanted.at, crowd=row.crowd if row else "",
-                confined_at=row.confined_at if row else 0.0,
+                confined_at=row.confined_at if row else 0.0, former=_former(row, life),
             )
             ident = f"{kept.incarnation}/{shard}"
             return [Wanted(SHARD, ident, encode(living(after, life, now)), rev), budget]
@@ -438,7 +464,8 @@
                 life = step(life_of(row), Event.REMOVE)
             except NotTaken as bad:
                 raise Wrong(bad.status, bad.what, bad.detail, bad.field) from None
-            after = msgspec.structs.replace(living(row, life, now), version=store.rev + 1)
+            after = living(row, life, now)
+            after = msgspec.structs.replace(after, version=store.rev + 1, former=_former(row, life))
             return [Wanted(SHARD, ident, None if life.stage is Stage.GONE else encode(after), rev), budget]
 
         await self.administration._change(plan, who)
@@ -456,14 +483,26 @@
         self.desk.refresh(store)
         return kept, {row.shard: (row, rev) for row, rev in self.desk.of(kept.incarnation)}
 
-    def _ground(self, without: str) -> Ground:
+    def _ground(self, store: Store, without: str) -> Ground:
+        """What pins are checked against, on the store's thread."""
+        # A tenant that was removed, and that no router has anything of in hand, takes no room any more.
+        over = {stone.incarnation for stone in _all(store, TOMBSTONE, Kept) if stone.clear}
         pinned: dict[str, float] = {}
         for ident, (row, _) in self.desk.rows.items():
-            if ident == without:
-                continue
-            for first in {terms.regions[0] for terms in (row.now, row.then) if terms and terms.regions}:
-                pinned[first] = pinned.get(first, 0.0) + row.allowance
-        return Ground(self.told.regions, list(self.servers.known.values()), float(self.told.bears), pinned)
+            if ident != without and row.incarnation not in over:
+                for region, counted in row.counted.items():
+                    pinned[region] = pinned.get(region, 0.0) + counted
+        self._hear_orders(store)
+        bears, heard = float(self.told.bears), bool(self.servers.digest)
+        return Ground(self.told.regions, self._standing_servers(), bears, pinned, heard)
+
+    def _hear_orders(self, store: Store) -> None:
+        self.ordered = frozenset(_idents(store, SERVER))
+
+    def _standing_servers(self) -> list[Server]:
+        """As routers told, and what operators let drain takes nothing, too."""
+        known = list(self.servers.known.values())
+        return [replace(each, up=False) if each.uid in self.ordered else each for each in known]
 
     def _spend(self, store: Store, incarnation: int, now: float) -> Wanted:
         held = store.get(BUDGET, str(incarnation))
@@ -510,7 +549,8 @@
 
 def _afford(kept: Kept, rows: dict[str, tuple[Pinned, int]], shard: str, allowance: float) -> float:
     """What of its tenant's allowance a shard takes. Raises NotTaken."""
-    others = sum(row.allowance for name, (row, _) in rows.items() if name != shard)
+    # What its tenant let end is its own again at once; at its region it counts until routers follow.
+    others = sum(row.allowance for name, (row, _) in rows.items() if name != shard and not row.ends)
     room = max(kept.allowance - others, 0.0)
     if allowance > room + 1e-9:
         detail = f"of {kept.allowance:.1f} the other shards have {others:.1f}; accepted: up to {room:.1f}"
@@ -557,13 +597,32 @@
     return prefixes
 
 
+def _former(row: Pinned | None, life: Life) -> dict[str, float]:
+    """What a shard counts for at regions that routers may still act by: from when it is asked for something
+    else until all follow. Else another tenant is given room that is still used."""
+    if row is None or life.left or (life.stage in REST and life.then is None):
+        return {}
+    first = row.now.regions[0] if row.now is not None and row.now.regions else ""
+    return {**row.former, first: row.counted[first]} if first else row.former
+
+
+def _all(store: Store, kind: str, form: type[Any]) -> Iterator[Any]:
+    after = ""
+    while items := store.items(kind, after):
+        for item in items:
+            yield msgspec.json.decode(item.body, type=form)
+        after = items[-1].ident
+
+
+def _idents(store: Store, kind: str) -> Iterator[str]:
+    after = ""
+    while items := store.items(kind, after):
+        yield from (item.ident for item in items)
+        after = items[-1].ident
+
+
 def _tenants(store: Store) -> list[tuple[int, str]]:
-    found = []
-    for kind in (TENANT, TOMBSTONE):
-        after = ""
-        while items := store.items(kind, after):
-            for item in items:
-                kept = msgspec.json.decode(item.body, type=Kept)
-                found.append((kept.incarnation, kept.name))
-            after = items[-1].ident
-    return found
+    return [
+        (kept.incarnation, kept.name)
+        for kind in (TENANT, TOMBSTONE) for kept in _all(store, kind, Kept)
+    ]
--- a/gaugehinge/placement/router.py
+++ b/gaugehinge/placement/router.py
@@ -58,6 +58,7 @@
         self.unsure: dict[str, float] = {}  # by the keeper's word
         self.relabelled: dict[str, float] = {}  # by what the list told here; follows the list
         self.servers: dict[str, Told] = {}  # follows the list
+        self.left: dict[str, Told] = {}  # as they were when they left it; MOST_SERVERS of them
         self.zones: dict[int, tuple[str, str, float]] = {}  # by the module's number: uid, zone, started
         self.slices: list[Slice] = []  # still to be told
         self.told_digest, self.told_list_at = "", 0.0
@@ -79,13 +80,15 @@
         if bulletin.whole:
             named = {target.uid for target in bulletin.targets}
             for uid in [uid for uid in self.servers if uid not in named]:
-                self.servers.pop(uid)
+                self._leave(uid)
         for listing, uid, _ in bulletin.targets:
             if listing.presence is Presence.GONE or listing.kind == origin:
-                self.servers.pop(uid, None)
+                self._leave(uid)
                 continue
-            before = self.servers.get(uid)
-            if before is not None and before[3] == listing.started and before[1] != listing.zone:
+            before = self.servers.get(uid) or self.left.pop(uid, None)
+            # Nor one whose start goes back: that list is older than one that was told before, and where the
+            # server started since, it stands elsewhere now.
+            if before is not None and listing.started <= before[3] and before[1] != listing.zone:
                 self.relabelled[uid] = listing.started
                 logger.warning("server {} in zone {} and not {} with no start", uid, listing.zone, before[1])
             up = listing.presence is Presence.UP
@@ -96,6 +99,14 @@
         self.relabelled = {uid: at for uid, at in self.relabelled.items() if started.get(uid) == at}
         self._hear_list(bulletin, held)
 
+    def _leave(self, uid: str) -> None:
+        """It left the list. Should it come back with no start, it must not pass for one of another zone."""
+        told = self.servers.pop(uid, None)
+        if told is not None:
+            self.left[uid] = told
+            while len(self.left) > MOST_SERVERS:
+                del self.left[next(iter(self.left))]
+
     # -- the keeper
 
     def report(self) -> bytes:
--- a/gaugehinge/placement/servers.py
+++ b/gaugehinge/placement/servers.py
@@ -58,7 +58,7 @@
             old = before.get(uid) or self.left.pop(uid, None)
             if uid in self.unsure and self.unsure[uid] != server.started:
                 del self.unsure[uid]
-            if old is not None and old.zone != server.zone and old.started == server.started:
+            if old is not None and old.zone != server.zone and server.started <= old.started:
                 self.unsure[uid] = server.started
                 disturbed |= {old.zone, server.zone}
         for uid, server in before.items():
--- a/gaugehinge/rehearsal/company.py
+++ b/gaugehinge/rehearsal/company.py
@@ -453,7 +453,8 @@
         """Something is so now; discovery is told."""
         for figure, value in figures.items():
             setattr(self.listed[name], figure, value)
-        self._order("discovery", uid=name, state=self.listed[name].state, boot_ms=self.listed[name].boot_ms)
+        true = self.listed[name]
+        self._order("discovery", uid=name, state=true.state, boot_ms=true.boot_ms, zone=true.zone)
 
     async def _tell_truth(self, child: Child, start: int) -> None:
         """A discovery that is back looks round; one with an old list takes its time."""
@@ -634,6 +635,13 @@
         """It takes something again."""
         self._tell_list(name, state="ready")
 
+    def relabel(self, name: str, zone: str, moves: bool = False) -> None:
+        """Discovery tells another zone of a server. `moves`: where it starts next it stands there, too."""
+        self._tell_list(name, zone=zone)
+        if moves:
+            path = self.folder / f"{name}.json"
+            path.write_text(json.dumps({**json.loads(path.read_bytes()), "zone": zone}))
+
     def discovery(self, **fault: float) -> None:
         """For so many seconds it is `down` (503), `stale` or `empty`."""
         self._order("discovery", **fault)
--- /dev/null
+++ b/gaugehinge/rehearsal/hardplay.py
@@ -0,0 +1,656 @@
+"""The hard cases of placement, one a seed, on processes: the placement play's seeds from 1000 on.
+
+Each case pins shards under load, does what it is about, and claims what has to be so of keys in stated times
+(`hardchecks.py`); all checks of histories run beside that. With `faults`, routers or the keeper are builds of
+`misplaced.py`, which the claims have to find.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable, Mapping
+from contextlib import suppress
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+from typing import Any
+
+import httpx
+import trio
+
+from ..emulator.link import Fault, State
+from ..histories.checks import Break
+from ..histories.events import Note, OpBegan, OpEnded, read_history
+from ..histories.reading import Reading
+from . import hardchecks, placementplay
+from .company import OLD_LIST, Company, company
+from .crowd import KINDS, Party, Shape, read_answer
+from .hardchecks import Claim
+from .outcome import Outcome, judged
+from .placementplay import LOOK, MIX, ZONES, Moves, Size, Tenant
+
+FIRST = 1000  # seed from which on cases are played
+SIZE = Size(routers=3, servers=6, rate=100.0, lease=1.5)
+SHARDS = ("s0", "s1")
+PREFIXES = ("s0/", "s1/", "s2/", "s3/", "free/")
+KEYS = 50  # under each prefix
+SETTLED_BY = 60.0  # seconds in which what was asked for stands, on a machine with whatever load
+LONG = 2.5  # seconds for which claims are looked at
+TOLD = 0.6  # seconds after which routers certainly act by a list that the keeper has of them
+WARM = 2.0  # seconds for which a server that has started takes few keys
+BEARS = 300.0  # operations a second of a server, where regions are to be full
+BURST, BURST_TIME = 150.0, 4.0  # operations a second, and seconds, of reads that show where keys go
+IN_HAND = 24  # operations that a stopped router wakes with
+ONLY, PREFER = "only", "prefer"
+SERVERS = {zone: tuple(f"server-{n}" for n in range(6) if "abc"[n % 3] == zone) for zone in "abc"}
+
+
+class Owner(Tenant):
+    """A tenant's caller whose keys go by the incarnation that the keeper names."""
+
+    def put(self, shown: dict[str, Any]) -> None:
+        """One shard as the keeper showed it."""
+        self.head = f"{shown['incarnation']:x}/"
+        super().put(shown)
+
+
+@dataclass(slots=True)
+class Scene:
+    """One play while it runs."""
+
+    all: Company
+    seed: int
+    owners: dict[str, Owner]
+    draw: random.Random
+    desk: httpx.AsyncClient
+    claims: list[Claim] = field(default_factory=list)
+    breaks: list[Break] = field(default_factory=list)
+    told: dict[str, float] = field(default_factory=dict)
+    over: bool = False
+    probes: dict[int, Party] = field(default_factory=dict)
+
+    @property
+    def acme(self) -> Owner:
+        return self.owners["acme"]
+
+    @property
+    def bolt(self) -> Owner:
+        return self.owners["bolt"]
+
+    async def load(self) -> None:
+        """Until told otherwise, a second at a time."""
+        while not self.over:
+            self.all.load(SIZE.rate, 1.0, wait=1.0, mix=MIX, prefixes=PREFIXES, keys=KEYS)
+            await trio.sleep(1.0)
+
+    def now(self) -> float:
+        return self.all.recorder.now()
+
+    def note(self, text: str) -> None:
+        self.all.recorder.put(Note(self.now(), "play", text))
+
+    def wrong(self, what: str, why: str, *parties: str) -> None:
+        """Something that has to be so at once is not."""
+        self.breaks.append(Break("case", what, parties or ("keeper",), self.now(), self.now(), why))
+
+    # -- calls
+
+    async def ask(
+        self, owner: Owner, shard: str, regions: list[str], hold: str = ONLY,
+        prefixes: list[str] | None = None, allowance: float = 1.0, tag: str | None = None,
+    ) -> httpx.Response | None:
+        """One change for the revision that stands, or `tag`; None: nobody knows what came of it."""
+        path = f"{owner.path}/{shard}"
+        body = {
+            "regions": regions, "hold": hold, "allowance": allowance,
+            "prefixes": [f"{shard}/"] if prefixes is None else prefixes,
+        }
+        with suppress(httpx.HTTPError):
+            if tag is None:
+                got = await self.desk.get(path)
+                if got.status_code not in (200, 404):
+                    return None
+                tag = got.headers.get("etag", "")
+            return await self.desk.put(path, json=body, headers={"If-Match": tag} if tag else {})
+        return None
+
+    async def pin(self, owner: Owner, shard: str, regions: list[str], hold: str = ONLY, **more: Any) -> int:
+        """Asked until it is taken; the revision."""
+        with trio.fail_after(SETTLED_BY):
+            while True:
+                got = await self.ask(owner, shard, regions, hold, **more)
+                if got is not None and got.status_code == 200:
+                    return got.json()["revision"]
+                await trio.sleep(LOOK)
+
+    async def stands(self, owner: Owner, shard: str, regions: list[str], *stages: str) -> bool:
+        """Until a shard stands in regions; whether it came to that."""
+        stages = stages or ("confined", "followed")
+        with trio.move_on_after(SETTLED_BY):
+            while True:
+                shown = owner.shown.get(shard)
+                if shown and shown["stage"] in stages and shown["now"]["regions"] == regions:
+                    return True
+                await trio.sleep(LOOK)
+        self.wrong(shard, f"does not stand in {regions} as {stages}, shown {owner.shown.get(shard)}")
+        return False
+
+    async def pinned(self, *wanted: tuple[Owner, str, list[str], str]) -> None:
+        """All of these, until they stand."""
+        for owner, shard, regions, hold in wanted:
+            await self.pin(owner, shard, regions, hold)
+        for owner, shard, regions, _ in wanted:
+            await self.stands(owner, shard, regions)
+
+    async def refused(self, owner: Owner, shard: str, regions: list[str], what: str) -> None:
+        """Asked until the keeper refuses it by that word: then it knows what the case is about."""
+        with trio.move_on_after(SETTLED_BY):
+            while True:
+                got = await self.ask(owner, shard, regions, prefixes=["never/"])
+                if got is not None and got.status_code >= 400 and what in got.text:
+                    return
+                await trio.sleep(LOOK)
+        self.wrong(shard, f"{regions} is not refused ({what})")
+
+    async def serves(self, owner: Owner, key: str, router: int) -> bool:
+        """Until a read settles there; whether it came to that."""
+        party = self.probes.get(router)
+        if party is None:
+            party = self.probes[router] = Party(
+                f"probe-{router}", owner.name, router, self.all.record_of(f"probe-{router}")
+            )
+        party.tenant, party.lines = owner.name, {}
+        with trio.move_on_after(SETTLED_BY):
+            while True:
+                shape = Shape(wait=1.0)
+                _, outcome, _ = await self.all.crowd._try(party, KINDS[0], key, shape, "", "")
+                if outcome == "settled":
+                    return True
+                await trio.sleep(LOOK)
+        self.wrong(key, f"no read of {owner.name} settles", f"router-{router}")
+        return False
+
+    async def ordered(self, server: str, order: str) -> None:
+        """An operator's order, until it is taken."""
+        while True:
+            with suppress(httpx.HTTPError):
+                if (await self.desk.post(f"/v1/servers/{server}/{order}")).status_code == 200:
+                    return
+            await trio.sleep(LOOK)
+
+    async def start_anew(self, name: str) -> None:
+        """Killed, and up again."""
+        self.all.kill(name)
+        self.all.start(name)
+        await self.all.up(name)
+
+    # -- claims
+
+    async def claim(
+        self, rule: str, look: Callable[..., Any], owner: Owner, prefix: str, lasts: float = LONG,
+        servers: tuple[str, ...] = (), zones: str = "", but: str = "", since: float | None = None,
+    ) -> None:
+        """From now on for a time. Several at once: in a nursery."""
+        since = self.now() if since is None else since
+        await trio.sleep(lasts)
+        self.claims.append(Claim(
+            rule, owner.name, owner.head + prefix, since, self.now(), look, frozenset(servers),
+            frozenset(zones), owner.head + but if but else "",
+        ))
+
+    async def together(self, *claims: Awaitable[None]) -> None:
+        """Claims of the same time."""
+
+        async def one(each: Awaitable[None]) -> None:
+            await each
+
+        async with trio.open_nursery() as nursery:
+            for each in claims:
+                nursery.start_soon(one, each)
+
+
+# -- the cases
+
+
+async def races(scene: Scene) -> None:
+    """Two callers ask for one shard at one revision, and the keeper is killed about when it acknowledges."""
+    acme, all_, draw = scene.acme, scene.all, scene.draw
+    await scene.pinned((acme, "s0", ["eu"], ONLY))
+    for number in range(3):
+        got = None
+        while got is None or got.status_code != 200:
+            with suppress(httpx.HTTPError):
+                got = await scene.desk.get(f"{acme.path}/s0")
+            await trio.sleep(LOOK)
+        tag, stood, answers = got.headers["etag"], got.json()["regions"], []
+        wanted = [[region] for region in ZONES if [region] != stood]
+
+        first, at_once = trio.Event(), draw.random() < 0.6
+
+        async def one(regions: list[str], tag: str = tag, answers: list = answers, first=first) -> None:
+            answers.append((regions, await scene.ask(acme, "s0", regions, tag=tag)))
+            first.set()
+
+        async with trio.open_nursery() as nursery:
+            for regions in wanted:
+                nursery.start_soon(one, regions)
+            if at_once:  # as soon as one of them is acknowledged: before any router is told
+                await first.wait()
+            else:
+                await trio.sleep(draw.uniform(0.0, 0.1))
+            all_.kill("keeper")
+        await trio.sleep(draw.uniform(0.0, 0.5))
+        all_.start("keeper")
+        await all_.up("keeper")
+        made = [regions for regions, told in answers if told is not None and told.status_code == 200]
+        open_ = [regions for regions, told in answers if told is None]
+        scene.told["acknowledged"] = scene.told.get("acknowledged", 0.0) + len(made)
+        scene.told["unknown"] = scene.told.get("unknown", 0.0) + len(open_)
+        if len(made) > 1:
+            scene.wrong("s0", f"two changes of one revision were acknowledged: {made}")
+        may = made or [*open_, stood]
+        shown = {}
+        with trio.move_on_after(SETTLED_BY):
+            while shown.get("stage") != "confined":
+                with suppress(httpx.HTTPError, ValueError):
+                    shown = (await scene.desk.get(f"{acme.path}/s0")).json()
+                await trio.sleep(LOOK)
+        if shown.get("stage") != "confined" or shown["now"]["regions"] not in may:
+            scene.wrong("s0", f"round {number}: shown {shown}, expected one of {may}")
+            return
+        (region,) = shown["now"]["regions"]
+        await scene.claim("stands", hardchecks.inside, acme, "s0/", 1.0, SERVERS[ZONES[region]])
+
+
+async def woken(scene: Scene) -> None:
+    """A router stands still across a whole move, and wakes with operations in hand."""
+    acme, all_, draw = scene.acme, scene.all, scene.draw
+    await scene.pinned((acme, "s0", ["eu"], ONLY))
+    home, reader = 1, all_.record_of("waker")
+    parties = [Party("waker", "acme", home, reader) for _ in range(IN_HAND)]
+    if not await scene.serves(acme, "s0/k0", home):
+        return
+    lines = [await all_.crowd._open(party, home) for party in parties]
+    all_.stop(f"router-{home}")
+    since = scene.now()
+    revision = await scene.pin(acme, "s0", ["us"])
+    scene.note(f"router-{home} stands still, s0 moves to us at revision {revision}")
+    await scene.stands(acme, "s0", ["us"], "confined")
+    scene.told["stood.s"] = scene.now() - since
+
+    async def hand(number: int, line: Any) -> None:
+        ident, now = f"waker-{number}", reader.now()
+        key = f"s0/k{number}"
+        reader.put(OpBegan(
+            now, "waker", ident, f"router-{home}", "acme", "read", "idempotent", key, False, 2.0
+        ))
+        got = None
+        with trio.move_on_after(4.0):
+            got = await all_.crowd._ask(line, ["KV.GET", key, ident, "c=read,d=2000"])
+        outcome, value, away = read_answer(got)
+        reader.put(OpEnded(reader.now(), "waker", ident, outcome, value, away))
+        scene.told["in_hand"] = scene.told.get("in_hand", 0.0) + (outcome != "lost")
+
+    async with trio.open_nursery() as nursery:
+        for number, line in enumerate(lines):
+            if line is not None:
+                nursery.start_soon(hand, number, line)
+        nursery.start_soon(scene.claim, "woken", hardchecks.inside, acme, "s0/", LONG, SERVERS["b"])
+        await trio.sleep(draw.uniform(0.05, 0.3))
+        all_.go_on(f"router-{home}")
+    await scene.serves(acme, "s0/k1", home)
+
+
+async def emptied(scene: Scene, how: str = "killed") -> None:
+    """A region loses its last server: `only` goes nowhere and is told when to come back, `prefer` goes on."""
+    acme, bolt, all_, draw = scene.acme, scene.bolt, scene.all, scene.draw
+    await scene.pinned(
+        (acme, "s0", ["eu"], ONLY), (acme, "s1", ["eu", "us"], PREFER), (bolt, "s0", ["us"], ONLY),
+        (bolt, "s1", ["eu"], PREFER),
+    )
+    gone = list(SERVERS["a"])
+    draw.shuffle(gone)
+    for name in gone:
+        if how == "killed":
+            all_.kill(name)
+        elif how == "drained":
+            all_.drain(name)
+        else:
+            await scene.ordered(name, "drain")
+        await trio.sleep(draw.uniform(0.0, 0.5))
+    await scene.refused(acme, "late", ["eu"], "no server")
+    await trio.sleep(TOLD)
+    await scene.together(
+        scene.claim("nowhere", hardchecks.nowhere, acme, "s0/"),
+        scene.claim("elsewhere", hardchecks.inside, acme, "s1/", servers=SERVERS["b"]),
+        scene.claim("elsewhere", hardchecks.inside, bolt, "s1/", servers=SERVERS["b"] + SERVERS["c"]),
+        scene.claim("elsewhere", hardchecks.inside, bolt, "s0/", servers=SERVERS["b"]),
+    )
+    back = gone[-1]
+    if how == "killed":
+        all_.start(back)
+    elif how == "drained":
+        all_.undrain(back)
+    else:
+        await scene.ordered(back, "restore")
+    for router in range(SIZE.routers):
+        await scene.serves(acme, "s0/k1", router)
+    await scene.claim("back", hardchecks.inside, acme, "s0/", 1.0, (back,))
+
+
+async def drained(scene: Scene) -> None:
+    """The last servers of a region drain, by discovery's word or an operator's."""
+    await emptied(scene, scene.draw.choice(("drained", "ordered")))
+
+
+async def full(scene: Scene) -> None:
+    """All tenants pin to one region until it is full; room is there again only when a move is over."""
+    acme, bolt, all_ = scene.acme, scene.bolt, scene.all
+    names = [(owner, f"s{n}") for owner in (acme, bolt) for n in range(4)]
+    answers: dict[tuple[str, str], int] = {}
+    await scene.pin(bolt, "far", ["ap"])  # taken once the keeper knows of servers
+
+    async def one(owner: Owner, shard: str) -> None:
+        got = await scene.ask(owner, shard, ["eu"], allowance=100.0)
+        answers[owner.name, shard] = got.status_code if got is not None else 0
+        if got is not None and got.status_code == 409:
+            told = got.json()
+            if told.get("field") != "regions[0]" or "up to 0.0, or first in ap, us" not in told["detail"]:
+                scene.wrong(shard, f"refused with {told}")
+
+    async with trio.open_nursery() as nursery:
+        for owner, shard in names:
+            nursery.start_soon(one, owner, shard)
+    taken = [(scene.owners[name], shard) for (name, shard), status in answers.items() if status == 200]
+    if len(taken) != int(BEARS) // 100:
+        scene.wrong("eu", f"{len(taken)} pins of 100 taken where {BEARS} are borne: {answers}")
+        return
+    for owner, shard in taken:
+        await scene.stands(owner, shard, ["eu"])
+    owner, shard = taken[0]
+    waiting = next((o, s) for o, s in names if answers[o.name, s] != 200)
+    router = f"router-{scene.draw.randrange(SIZE.routers)}"
+    all_.link(router, "keeper", Fault(State.SILENT))  # it may go on in the old region for a while
+    await scene.pin(owner, shard, ["us"], allowance=100.0)
+    tries = 0
+    with trio.move_on_after(SETTLED_BY):
+        while True:
+            before = owner.shown[shard]["stage"], owner.shown[shard]["now"]["regions"]
+            got = await scene.ask(*waiting, ["eu"], allowance=100.0)
+            tries += 1
+            if got is not None and got.status_code == 200:
+                there = await scene.desk.get(f"{owner.path}/{shard}")
+                if there.json()["stage"] != "confined" or there.json()["now"]["regions"] != ["us"]:
+                    scene.wrong(shard, f"its room is given away while it moves: {before}, {there.text}")
+                break
+            await trio.sleep(LOOK)
+    all_.link(router, "keeper", Fault())
+    scene.told["tries"] = float(tries)
+    await scene.stands(*waiting, ["eu"])
+    # A server is lost: what is pinned goes on there, less of it is always taken, more is not.
+    all_.kill("server-0")
+    await scene.refused(bolt, "late", ["eu"], "'eu' bears 0.0")
+    standing = taken[1]
+    got = await scene.ask(*standing, ["eu"], allowance=50.0)
+    if got is None or got.status_code != 200:
+        scene.wrong(standing[1], f"less is not taken: {got.text if got is not None else got}")
+    got = await scene.ask(*standing, ["eu"], allowance=51.0)
+    if got is None or got.status_code != 409:
+        scene.wrong(standing[1], f"more is taken: {got.text if got is not None else got}")
+    await scene.together(*(
+        scene.claim("full", hardchecks.inside, owner, f"{shard}/", servers=("server-3",))
+        for owner, shard in (taken[1], taken[2], waiting)
+    ))
+    await scene.serves(standing[0], f"{standing[1]}/k1", 0)
+
+
+async def again(scene: Scene) -> None:
+    """A tenant is removed and made again while one of its shards moves: nothing of its pins is left."""
+    acme, all_, draw = scene.acme, scene.all, scene.draw
+    await scene.pinned((acme, "s0", ["eu"], ONLY), (acme, "s1", ["eu"], ONLY))
+    cut = f"router-{draw.randrange(SIZE.routers)}"
+    if draw.random() < 0.7:
+        all_.link(cut, "keeper", Fault(draw.choice((State.SILENT, State.SILENT_BACK, State.REFUSED))))
+    await scene.pin(acme, "s0", ["us"])
+    await trio.sleep(draw.uniform(0.0, 1.0))
+    path, secret = "/v1/tenants/acme", ""
+    stood = await scene.desk.get(path)
+    await scene.desk.delete(path, headers={"If-Match": stood.headers["etag"]})
+    while not secret:  # a keeper that is short of time answers with 503
+        got = await scene.desk.post("/v1/tenants", json={"name": "acme", "allowance": 1000.0, "memory": 9.0})
+        if got.status_code in (200, 201, 409):
+            made = await scene.desk.get(path)
+            await scene.desk.post(f"{path}/activate", headers={"If-Match": made.headers["etag"]})
+            secret = (await scene.desk.post(f"{path}/credentials", json={"overlap": 0.0})).json()["secret"]
+    all_.secrets["acme"] = secret
+    for party in all_.crowd.parties:
+        if party.tenant == "acme":
+            party.lines.clear()
+    acme.head = f"{(await scene.desk.get(path)).json()['incarnation']:x}/"
+    scene.note(f"acme made again, its keys begin with {acme.head}")
+    if (await scene.desk.get(acme.path)).json()["shards"]:
+        scene.wrong("acme", "a new tenant has shards")
+    await trio.sleep(draw.uniform(0.0, 1.0))
+    all_.heal()
+    for router in range(SIZE.routers):
+        await scene.serves(acme, "s0/k1", router)
+    all_.load(BURST, BURST_TIME, wait=1.0, mix=(("read", 1.0),), prefixes=("s0/", "s1/"), keys=KEYS)
+    await scene.claim("nothing_left", hardchecks.spread, acme, "s", BURST_TIME, zones="abc")
+    await scene.pinned((acme, "s0", ["ap"], ONLY))
+    all_.load(BURST, BURST_TIME, wait=1.0, mix=(("read", 1.0),), prefixes=("s1/",), keys=KEYS)
+    await scene.together(
+        scene.claim("anew", hardchecks.inside, acme, "s0/", servers=SERVERS["c"]),
+        scene.claim("nothing_left", hardchecks.spread, acme, "s1/", BURST_TIME, zones="abc"),
+    )
+
+
+async def relabelled(scene: Scene) -> None:
+    """A server is told in another zone without a start: no `only` key goes there until it starts anew."""
+    acme, bolt, all_, draw = scene.acme, scene.bolt, scene.all, scene.draw
+    await scene.pinned((acme, "s0", ["us"], ONLY), (bolt, "s0", ["eu"], ONLY), (acme, "s1", ["eu"], PREFER))
+    name = draw.choice(SERVERS["a"])
+    (rest,) = set(SERVERS["a"]) - {name}
+    cut = draw.randrange(SIZE.routers)
+    if draw.random() < 0.5:  # it hears of it by the keeper, and later by the list
+        all_.link(f"router-{cut}", "discovery", Fault(State.SILENT))
+    all_.relabel(name, "b", moves=True)
+    await trio.sleep(1.5)
+    if draw.random() < 0.5:  # one that knows only the new label
+        await scene.start_anew(f"router-{draw.randrange(SIZE.routers)}")
+    await scene.stands(acme, "s0", ["us"], "confined")
+    await scene.stands(bolt, "s0", ["eu"], "confined")
+    await scene.together(
+        scene.claim("relabelled", hardchecks.inside, acme, "s0/", servers=SERVERS["b"]),
+        scene.claim("relabelled", hardchecks.inside, bolt, "s0/", servers=(rest,)),
+    )
+    all_.heal()
+    all_.kill(name)
+    await trio.sleep(draw.uniform(0.7, 1.5))
+    all_.start(name)
+    await all_.up(name)
+    for router in range(SIZE.routers):
+        await scene.serves(acme, "s0/k1", router)
+    await scene.stands(acme, "s0", ["us"], "confined")
+    all_.load(BURST, BURST_TIME, wait=1.0, mix=(("read", 1.0),), prefixes=("s0/",), keys=KEYS)
+    await scene.claim(
+        "started", hardchecks.reached, acme, "s0/", BURST_TIME + WARM, (name, *SERVERS["b"]),
+    )
+
+
+async def split(scene: Scene) -> None:
+    """A longer prefix is split off while its shard moves; both go their own ways."""
+    acme, all_, draw = scene.acme, scene.all, scene.draw
+    await scene.pinned((acme, "s0", ["eu"], ONLY))
+    await scene.pin(acme, "s0", ["us"])
+    await trio.sleep(draw.uniform(0.0, 0.6))
+    await scene.pin(acme, "part", ["ap"], prefixes=["s0/k1"])
+    if draw.random() < 0.5:
+        await trio.sleep(draw.uniform(0.0, 0.3))
+        all_.kill("keeper")
+        await trio.sleep(draw.uniform(0.0, 0.5))
+        all_.start("keeper")
+    if draw.random() < 0.5:
+        await scene.pin(acme, "s0", ["eu"])
+        await scene.pin(acme, "s0", ["us"])
+    await scene.stands(acme, "s0", ["us"])
+    await scene.stands(acme, "part", ["ap"])
+    await scene.together(
+        scene.claim("split", hardchecks.inside, acme, "s0/k1", servers=SERVERS["c"]),
+        scene.claim("split", hardchecks.inside, acme, "s0/", servers=SERVERS["b"], but="s0/k1"),
+    )
+
+
+async def list_back(scene: Scene) -> None:
+    """Discovery tells an older list: a label of before, a start of before, or servers that have gone."""
+    acme, bolt, all_, draw = scene.acme, scene.bolt, scene.all, scene.draw
+    await scene.pinned((acme, "s0", ["us"], ONLY), (bolt, "s0", ["eu"], ONLY), (acme, "s1", ["eu"], PREFER))
+    kind = ("label", "start", "gone")[scene.seed // len(CASES) % 3]
+    scene.note(f"the list that comes back has another {kind}")
+    all_.keep_copy("discovery")
+    name = draw.choice(SERVERS["a"])
+    (rest,) = set(SERVERS["a"]) - {name}
+    if kind == "label":
+        all_.relabel(name, "b", moves=True)
+    else:
+        all_.kill(*(SERVERS["a"] if kind == "gone" else (name,)))
+        await trio.sleep(1.0)
+    if kind == "start":
+        all_.relabel(name, "b", moves=True)
+        all_.start(name)
+        await all_.up(name)
+    await trio.sleep(1.5)
+    if kind == "gone":
+        await scene.refused(bolt, "late", ["eu"], "no server")
+    else:
+        await scene.stands(acme, "s0", ["us"], "confined")
+    all_.kill("discovery")
+    await trio.sleep(draw.uniform(0.1, 0.5))
+    all_.start("discovery", files="older")
+    await all_.up("discovery")
+    may = {"label": (rest,), "start": (rest,), "gone": ()}[kind]
+    look = hardchecks.none_outside
+    claims = [scene.claim("list_back", look, bolt, "s0/", LONG + OLD_LIST, may)]
+    inside = SERVERS["b"] + ((name,) if kind == "start" else ())
+    claims.append(scene.claim("list_back", look, acme, "s0/", LONG + OLD_LIST, inside))
+    await scene.together(*claims)
+    if kind == "gone":
+        for each in SERVERS["a"]:
+            all_.start(each)
+    for router in range(SIZE.routers):
+        await scene.serves(bolt, "s0/k1", router)
+    await scene.stands(bolt, "s0", ["eu"], "confined")
+
+
+async def power(scene: Scene) -> None:
+    """Power is lost amid a move; what was acknowledged stands when it is back."""
+    acme, bolt, all_, draw = scene.acme, scene.bolt, scene.all, scene.draw
+    await scene.pinned((acme, "s0", ["eu"], ONLY), (bolt, "s0", ["us"], ONLY))
+    await scene.pin(acme, "s0", ["us"])
+    await trio.sleep(draw.choice((0.0, 0.05, 0.2, 0.6, 1.2)))
+    all_.power_loss(silent=draw.random() < 0.3)
+    await trio.sleep(draw.uniform(0.2, 0.8))
+    last = draw.choice(("", "keeper", "discovery", "router-1"))
+    names = sorted(all_.children)
+    draw.shuffle(names)
+    for name in sorted(names, key=lambda each: each == last):
+        if name == last:
+            await trio.sleep(draw.uniform(0.5, 3.0))
+        all_.start(name)
+        await trio.sleep(draw.uniform(0.0, 0.2))
+    await all_.up(*names)
+    await scene.stands(acme, "s0", ["us"], "confined")
+    await scene.stands(bolt, "s0", ["us"], "confined")
+    for router in range(SIZE.routers):
+        await scene.serves(acme, "s0/k1", router)
+    await scene.together(
+        scene.claim("stands", hardchecks.inside, acme, "s0/", servers=SERVERS["b"]),
+        scene.claim("stands", hardchecks.inside, bolt, "s0/", servers=SERVERS["b"]),
+    )
+
+
+async def older(scene: Scene) -> None:
+    """The keeper's store is put back to a copy from before a move and a first pin: both are held."""
+    acme, bolt, all_, draw = scene.acme, scene.bolt, scene.all, scene.draw
+    await scene.pinned((acme, "s0", ["eu"], ONLY), (bolt, "s0", ["us"], ONLY))
+    all_.keep_copy("keeper")
+    await trio.sleep(draw.uniform(0.0, 0.5))
+    await scene.pinned((acme, "s0", ["us"], ONLY), (acme, "s1", ["ap"], ONLY))
+    all_.kill("keeper")
+    await trio.sleep(draw.uniform(0.0, 0.5))
+    all_.start("keeper", files="older")
+    await all_.up("keeper")
+    for shard in SHARDS:
+        await scene.stands(acme, shard, [], "held")
+    await trio.sleep(TOLD)
+    await scene.together(
+        scene.claim("held", hardchecks.nowhere, acme, "s0/"),
+        scene.claim("held", hardchecks.nowhere, acme, "s1/"),
+    )
+    await scene.stands(bolt, "s0", ["us"], "confined")
+    await scene.pinned((acme, "s0", ["us"], ONLY), (acme, "s1", ["eu", "us"], PREFER))
+    for router in range(SIZE.routers):
+        await scene.serves(acme, "s0/k1", router)
+    await scene.together(
+        scene.claim("stands", hardchecks.inside, acme, "s0/", servers=SERVERS["b"]),
+        scene.claim("stands", hardchecks.inside, acme, "s1/", servers=SERVERS["a"]),
+        scene.claim("stands", hardchecks.inside, bolt, "s0/", servers=SERVERS["b"]),
+    )
+
+
+CASES: tuple[Callable[[Scene], Awaitable[None]], ...] = (
+    races, woken, emptied, full, again, relabelled, split, drained, list_back, power, older,
+)
+
+
+def case_of(seed: int) -> Callable[[Scene], Awaitable[None]]:
+    """The case of a seed."""
+    return CASES[seed % len(CASES)]
+
+
+async def play(seed: int, folder: Path, faults: Mapping[str, str] | None = None) -> Outcome:
+    """One play. `faults`: which build of misplaced.py a router, or the keeper, is."""
+    case, draw = case_of(seed), random.Random(f"{seed} hard")
+    plan = placementplay.plan_of(SIZE)
+    if case is full:
+        placement = {**plan.keep["placement"], "bears": f"{BEARS}/s"}
+        plan = replace(plan, keep={**plan.keep, "placement": placement})
+    stalls: list[tuple[float, float]] = []
+    async with company(folder, seed, plan) as all_:
+        await all_.ready()
+        if faults:
+            await _planted(all_, faults)
+        async with trio.open_nursery() as nursery, all_.api(party="asks") as desk:
+            nursery.start_soon(placementplay.beat, stalls)
+            owners = {
+                name: Owner(all_, name, number, SIZE, Moves(0), seed)
+                for number, name in enumerate(plan.tenants, 1)
+            }
+            for owner in owners.values():
+                nursery.start_soon(owner.watch)
+            scene = Scene(all_, seed, owners, draw, desk)
+            nursery.start_soon(scene.load)
+            began = scene.now()
+            await case(scene)
+            scene.told["case.s"] = scene.now() - began
+            scene.over = True
+            await all_.load_over()
+            for owner in owners.values():
+                owner.over = True
+            nursery.cancel_scope.cancel()
+        bounds = all_.bounds()
+    reading = Reading.of(list(read_history(folder)))
+    broken, seen = hardchecks.judge(reading, scene.claims)
+    told = {**scene.told, "stalled.s": sum(until - since for since, until in stalls)}
+    outcome = judged(reading, bounds, told)
+    breaks = placementplay.timely(outcome.breaks, stalls)
+    return replace(
+        outcome, breaks=[*breaks, *scene.breaks, *broken], looked_at={**outcome.looked_at, **seen}
+    )
+
+
+async def _planted(all_: Company, faults: Mapping[str, str]) -> None:
+    all_.kill(*faults)
+    for name, mode in faults.items():
+        child = all_.children[name]
+        child.words = ["gaugehinge.rehearsal.misplaced", mode, *child.words[1:]]
+        all_.start(name)
+    await all_.ready()
--- a/gaugehinge/rehearsal/placementplay.py
+++ b/gaugehinge/rehearsal/placementplay.py
@@ -17,6 +17,7 @@
 import trio
 
 from ..emulator.link import Fault, State
+from ..histories.checks import Break
 from ..histories.events import AnyEvent, OpBegan, OpEnded, Placed, read_history
 from .company import Company, Plan, company
 from .outcome import Outcome, judged
@@ -215,8 +216,21 @@
             stalls.append((before, now))
 
 
+def timely(breaks: Sequence[Break], stalls: Sequence[tuple[float, float]]) -> list[Break]:
+    """Those that a play which stood still at these times can judge."""
+    return [
+        each for each in breaks
+        if each.rule not in TIMED or not any(s <= each.ended and each.began <= u for s, u in stalls)
+    ]
+
+
 async def play(seed: int, folder: Path, size: Size = Size(), pinned: bool = True) -> Outcome:
-    """One play. Not `pinned`: the same load and faults without placement, to compare with."""
+    """One play. Not `pinned`: the same load and faults without placement, to compare with. Seeds from
+    `hardplay.FIRST` on are its hard cases."""
+    from . import hardplay
+
+    if seed >= hardplay.FIRST:
+        return await hardplay.play(seed, folder)
     moves = Moves(size.moves if pinned else 0)
     names = [f"s{number}" for number in range(size.shards)]
     stalls: list[tuple[float, float]] = []
@@ -252,11 +266,7 @@
     told = figures_of(history, moves)
     told["stalled.s"] = sum(until - since for since, until in stalls)
     outcome = judged(history, bounds, told)
-    breaks = [
-        each for each in outcome.breaks
-        if each.rule not in TIMED or not any(s <= each.ended and each.began <= u for s, u in stalls)
-    ]
-    return replace(outcome, breaks=breaks)
+    return replace(outcome, breaks=timely(outcome.breaks, stalls))
 
 
 async def _ready(all_: Company) -> None:
