--- a/gaugehinge/placement/keeper.py
+++ b/gaugehinge/placement/keeper.py
@@ -81,6 +81,7 @@
         self.back = False  # a router acts by a history that this copy of the store does not have
         self.since: dict[tuple[str, int], float] = {}  # when a condition was first seen; follows the work
         self.ordered: frozenset[str] = frozenset()  # servers that operators let drain; follows the store
+        self.doubtful: dict[str, float] = {}  # servers whose zone changed without a start; likewise
         self.crammed: set[str] = set()  # regions where more is pinned than they bear now
         self._wake = trio.Event()
         self._note: tuple[int, list[tuple[str, float]]] = (0, [])
@@ -212,7 +213,7 @@
 
     def _work(self) -> list[tuple[str, Pinned, int]]:
         self.desk.refresh(self.keeper.store)
-        self._hear_orders(self.keeper.store)
+        self._hear_store(self.keeper.store)
         return [(ident, *self.desk.rows[ident]) for ident in sorted(self.desk.restless)]
 
     def _event(self, ident: str, row: Pinned, rev: int) -> Event | None:
@@ -492,17 +493,22 @@
             if ident != without and row.incarnation not in over:
                 for region, counted in row.counted.items():
                     pinned[region] = pinned.get(region, 0.0) + counted
-        self._hear_orders(store)
+        self._hear_store(store)
         bears, heard = float(self.told.bears), bool(self.servers.digest)
         return Ground(self.told.regions, self._standing_servers(), bears, pinned, heard)
 
-    def _hear_orders(self, store: Store) -> None:
+    def _hear_store(self, store: Store) -> None:
         self.ordered = frozenset(_idents(store, SERVER))
+        self.doubtful = {**dict(self._unsure(store)), **self.servers.unsure}
 
     def _standing_servers(self) -> list[Server]:
-        """As routers told, and what operators let drain takes nothing, too."""
-        known = list(self.servers.known.values())
-        return [replace(each, up=False) if each.uid in self.ordered else each for each in known]
+        """As routers told. What operators let drain takes nothing, and what changed zones without a start no
+        key of an `only` shard: neither is room to pin to."""
+        return [
+            replace(each, up=False)
+            if each.uid in self.ordered or self.doubtful.get(each.uid) == each.started else each
+            for each in list(self.servers.known.values())
+        ]
 
     def _spend(self, store: Store, incarnation: int, now: float) -> Wanted:
         held = store.get(BUDGET, str(incarnation))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,6 +1,7 @@
 """Shards pinned to regions: the table, admission, life, the walk, and keeper with routers that hold to it."""
 
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import httpx
 import msgspec
@@ -11,7 +12,7 @@
 from hypothesis import strategies as st
 from test_random import Rules
 
-from gaugehinge.admin.keep import KeepPlacement, read_keep
+from gaugehinge.admin.keep import KeepPlacement, look_at_stones, read_keep
 from gaugehinge.forms.toml import BadFile
 from gaugehinge.forms.units import Rate, Seconds
 from gaugehinge.installation.form import PlacementEntry
@@ -81,6 +82,20 @@
         assert (bad.value.status, bad.value.field) == (status, field) and word in bad.value.detail
 
 
+def test_a_pin_that_outgrew_its_region_may_shrink_there_and_a_keeper_that_heard_nothing_says_so():
+    shrunk = replace(GROUND, pinned={"eu": 300.0})
+    shrunk.check(("eu",), 250.0, held=250.0)  # as it stands, and in other terms
+    shrunk.check(("eu",), 80.0, held=250.0)
+    with pytest.raises(Refused) as bad:
+        shrunk.check(("eu",), 250.1, held=250.0)
+    assert bad.value.status == 409 and "up to 250.0" in bad.value.detail
+    with pytest.raises(Refused):
+        shrunk.check(("eu",), 1.0)
+    with pytest.raises(Refused) as bad:
+        replace(GROUND, servers=[], heard=False).check(("eu",), 1.0)
+    assert bad.value.status == 503 and "again" in bad.value.detail
+
+
 def test_changes_of_a_tenant_fill_again_over_an_hour():
     budget = Budget(2.0, 0.0)
     budget = budget.take(2, 0.0).take(2, 0.0)
@@ -106,6 +121,9 @@
     assert set(servers.left) == {"s449"} and ("s449", "a", 5.0) in servers.crowd()
     servers.hear("r", slices([("s003", "b", 1.0, 7.0, True)])[0])
     assert not servers.unsure
+    # A list of before: what it says of the zone is of a former start, whose address it may not be any more.
+    assert servers.hear("r", slices([("s003", "a", 1.0, 5.0, True)])[0]) == {"a", "b"}
+    assert servers.unsure == {"s003": 5.0}
 
 
 # -- life
@@ -425,6 +443,107 @@
     run(scene)
 
 
+def test_callers_at_once_get_no_more_than_a_region_bears():
+    async def scene():
+        async with playing(routers=1, allowance=1e6) as play:
+            taken = []
+
+            async def one(number):
+                body = {"regions": ["eu"], "prefixes": [f"p{number}"], "allowance": 300}
+                got = await play.desk.put(f"/v1/tenants/acme/shards/s{number}", json=body)
+                taken.append(got.status_code)
+
+            async with trio.open_nursery() as nursery:
+                for number in range(8):
+                    nursery.start_soon(one, number)
+            assert sorted(taken) == [200] * 3 + [409] * 5
+
+    run(scene)
+
+
+def test_room_is_free_only_once_nobody_acts_by_what_was_before():
+    async def scene():
+        async with playing(routers=2, told=msgspec.structs.replace(PLACE, alone=LONG)) as play:
+            made = await play.put("mine", ["eu"], prefixes=["eu/"], allowance=600)
+            await play.until("mine", "confined")
+            follower = play.all.followers[1]
+            follower.client.base_url = "http://127.0.0.1:9"  # goes on in the old region for a while
+            await play.put("mine", ["us"], match=made.headers["etag"], allowance=10)
+            await play.all.tenant("bolt", allowance=900.0)
+            async with play.all.desk() as desk:
+                body = {"regions": ["eu"], "prefixes": ["b"], "allowance": 500}
+                waited = 0
+                while (got := await desk.put("/v1/tenants/bolt/shards/b", json=body)).status_code == 409:
+                    assert "600.0 are pinned there" in got.json()["detail"]
+                    waited += (await play.get("mine"))["stage"] == "moving"
+                    await trio.sleep(0.05)
+                assert waited and got.status_code == 200
+                assert (await play.get("mine"))["stage"] == "confined"
+            follower.client.base_url = play.all.api
+            # What its tenant lets end is its own again at once.
+            rest = await play.put("rest", ["us"], prefixes=["rest/"], allowance=890)
+            match = {"If-Match": rest.headers["etag"]}
+            assert (await play.desk.delete("/v1/tenants/acme/shards/rest", headers=match)).status_code == 204
+            await play.put("more", ["ap"], prefixes=["more/"], allowance=890)
+
+    run(scene)
+
+
+def test_what_takes_no_key_is_no_room_and_a_tenant_that_is_gone_takes_none():
+    async def scene():
+        async with playing(routers=1, allowance=9000.0) as play:
+            await play.put("one", ["us"], prefixes=["1"], allowance=800)
+            async with play.all.desk() as desk:
+                for uid in ("c-0", "c-3"):
+                    assert (await desk.post(f"/v1/servers/{uid}/drain")).status_code == 200
+                got = await play.put("two", ["eu"], 409, prefixes=["2"], allowance=1)
+                assert "accepted: ap, us" in got.json()["detail"]
+                for uid in ("c-0", "c-3"):
+                    await desk.post(f"/v1/servers/{uid}/restore")
+                    play.all.directory.change(uid, zone="c")
+                await play.put("two", ["ap"], prefixes=["2"], allowance=1)
+                with trio.fail_after(20):
+                    while len(play.part.servers.unsure) < 2:
+                        await trio.sleep(0.02)
+                got = await play.put("three", ["ap"], 409, prefixes=["3"], allowance=1001)
+                assert "'ap' bears 1000.0" in got.json()["detail"], "of four there two take no key"
+                tenant = await desk.get("/v1/tenants/acme")
+                match = {"If-Match": tenant.headers["etag"]}
+                assert (await desk.delete("/v1/tenants/acme", headers=match)).status_code == 204
+                play.secret = await play.all.tenant("acme", allowance=9000.0)
+                body = {"regions": ["us"], "prefixes": ["1"], "allowance": 900}
+                with trio.fail_after(20):
+                    while (await desk.put("/v1/tenants/acme/shards/one", json=body)).status_code != 200:
+                        await look_at_stones(play.all.administration)
+                        await trio.sleep(0.05)
+
+    run(scene)
+
+
+def test_a_server_that_left_the_list_comes_back_in_no_other_zone_without_a_start():
+    async def scene():
+        async with playing(routers=1) as play:
+            await play.put("mine", ["us"], prefixes=["us/"])
+            await play.until("mine", "confined")
+            part = play.all.followers[0].parts[0]
+            play.all.directory.change("c-0", state="gone")
+            with trio.fail_after(10):
+                while "c-0" in part.servers:
+                    await trio.sleep(0.02)
+            part.unsure = {}
+            play.all.directory.change("c-0", state="ready", zone="b")
+            with trio.fail_after(10):
+                while "c-0" not in part.servers:
+                    await trio.sleep(0.02)
+            assert "c-0" in part.relabelled, "before the keeper knows of it"
+            play.forget()
+            keys = [f"us/{number}" for number in range(30)]
+            served(await play.read(0, *keys))
+            assert {seen.server for seen in play.all.shelves.seen} == {"c-1", "c-4"}
+
+    run(scene)
+
+
 def test_a_cut_off_router_stops_what_may_be_pinned_before_the_keeper_counts_on_it():
     async def scene():
         async with playing(routers=2, told=msgspec.structs.replace(PLACE, alone=LONG)) as play:
