--- a/gaugehinge/rehearsal/hardplay.py
+++ b/gaugehinge/rehearsal/hardplay.py
@@ -30,6 +30,7 @@
 
 FIRST = 1000  # seed from which on cases are played
 SIZE = Size(routers=3, servers=6, rate=100.0, lease=1.5)
+SMALL = replace(SIZE, routers=2, rate=40.0)
 SHARDS = ("s0", "s1")
 PREFIXES = ("s0/", "s1/", "s2/", "s3/", "free/")
 KEYS = 50  # under each prefix
@@ -62,6 +63,7 @@
     owners: dict[str, Owner]
     draw: random.Random
     desk: httpx.AsyncClient
+    size: Size
     claims: list[Claim] = field(default_factory=list)
     breaks: list[Break] = field(default_factory=list)
     told: dict[str, float] = field(default_factory=dict)
@@ -80,7 +82,7 @@
     async def load(self) -> None:
         """Until told otherwise, a second at a time."""
         while not self.over:
-            self.all.load(SIZE.rate, 1.0, wait=1.0, mix=MIX, prefixes=PREFIXES, keys=KEYS)
+            self.all.load(self.size.rate, 1.0, wait=1.0, mix=MIX, prefixes=PREFIXES, keys=KEYS)
             await trio.sleep(1.0)
 
     def reads(self, *prefixes: str, lasts: float = BURST_TIME) -> None:
@@ -354,7 +356,7 @@
         all_.undrain(back)
     else:
         await scene.ordered(back, "restore")
-    for router in range(SIZE.routers):
+    for router in range(scene.size.routers):
         await scene.serves(acme, "s0/k1", router)
     await scene.claim("back", hardchecks.inside, acme, "s0/", 1.0, (back,))
 
@@ -390,7 +392,7 @@
         await scene.stands(owner, shard, ["eu"])
     owner, shard = taken[0]
     waiting = next((o, s) for o, s in names if answers[o.name, s] != 200)
-    router = f"router-{scene.draw.randrange(SIZE.routers)}"
+    router = f"router-{scene.draw.randrange(scene.size.routers)}"
     all_.link(router, "keeper", Fault(State.SILENT))  # it may go on in the old region for a while
     await scene.pin(owner, shard, ["us"], allowance=100.0)
     tries = 0
@@ -429,7 +431,7 @@
     """A tenant is removed and made again while one of its shards moves: nothing of its pins is left."""
     acme, all_, draw = scene.acme, scene.all, scene.draw
     await scene.pinned((acme, "s0", ["eu"], ONLY), (acme, "s1", ["eu"], ONLY))
-    cut = f"router-{draw.randrange(SIZE.routers)}"
+    cut = f"router-{draw.randrange(scene.size.routers)}"
     if draw.random() < 0.7:
         all_.link(cut, "keeper", Fault(draw.choice((State.SILENT, State.SILENT_BACK, State.REFUSED))))
     await scene.pin(acme, "s0", ["us"])
@@ -453,7 +455,7 @@
         scene.wrong("acme", "a new tenant has shards")
     await trio.sleep(draw.uniform(0.0, 1.0))
     all_.heal()
-    for router in range(SIZE.routers):
+    for router in range(scene.size.routers):
         await scene.serves(acme, "s0/k1", router)
     scene.reads("s0/", "s1/")
     await scene.together(*(
@@ -474,13 +476,13 @@
     await scene.pinned((acme, "s0", ["us"], ONLY), (bolt, "s0", ["eu"], ONLY), (acme, "s1", ["eu"], PREFER))
     name = draw.choice(SERVERS["a"])
     (rest,) = set(SERVERS["a"]) - {name}
-    cut = draw.randrange(SIZE.routers)
+    cut = draw.randrange(scene.size.routers)
     if draw.random() < 0.5:  # it hears of it by the keeper, and later by the list
         all_.link(f"router-{cut}", "discovery", Fault(State.SILENT))
     all_.relabel(name, "b", moves=True)
     await trio.sleep(1.5)
     if draw.random() < 0.5:  # one that knows only the new label
-        await scene.start_anew(f"router-{draw.randrange(SIZE.routers)}")
+        await scene.start_anew(f"router-{draw.randrange(scene.size.routers)}")
     await scene.stands(acme, "s0", ["us"], "confined")
     await scene.stands(bolt, "s0", ["eu"], "confined")
     scene.reads("s0/", lasts=LONG)
@@ -493,7 +495,7 @@
     await trio.sleep(draw.uniform(0.7, 1.5))
     all_.start(name)
     await all_.up(name)
-    for router in range(SIZE.routers):
+    for router in range(scene.size.routers):
         await scene.serves(acme, "s0/k1", router)
     await scene.stands(acme, "s0", ["us"], "confined")
     scene.reads("s0/")
@@ -562,7 +564,7 @@
     if kind == "gone":
         for each in SERVERS["a"]:
             all_.start(each)
-    for router in range(SIZE.routers):
+    for router in range(scene.size.routers):
         await scene.serves(bolt, "s0/k1", router)
     await scene.stands(bolt, "s0", ["eu"], "confined")
 
@@ -586,7 +588,7 @@
     await all_.up(*names)
     await scene.stands(acme, "s0", ["us"], "confined")
     await scene.stands(bolt, "s0", ["us"], "confined")
-    for router in range(SIZE.routers):
+    for router in range(scene.size.routers):
         await scene.serves(acme, "s0/k1", router)
     await scene.together(
         scene.claim("stands", hardchecks.inside, acme, "s0/", servers=SERVERS["b"]),
@@ -614,7 +616,7 @@
     )
     await scene.stands(bolt, "s0", ["us"], "confined")
     await scene.pinned((acme, "s0", ["us"], ONLY), (acme, "s1", ["eu", "us"], PREFER))
-    for router in range(SIZE.routers):
+    for router in range(scene.size.routers):
         await scene.serves(acme, "s0/k1", router)
     await scene.together(
         scene.claim("stands", hardchecks.inside, acme, "s0/", servers=SERVERS["b"]),
@@ -633,10 +635,12 @@
     return CASES[seed % len(CASES)]
 
 
-async def play(seed: int, folder: Path, faults: Mapping[str, str] | None = None) -> Outcome:
+async def play(
+    seed: int, folder: Path, faults: Mapping[str, str] | None = None, size: Size = SIZE
+) -> Outcome:
     """One play. `faults`: which build of misplaced.py a router, or the keeper, is."""
     case, draw = case_of(seed), random.Random(f"{seed} hard")
-    plan = placementplay.plan_of(SIZE)
+    plan = placementplay.plan_of(size)
     if case is full:
         placement = {**plan.keep["placement"], "bears": f"{BEARS}/s"}
         plan = replace(plan, keep={**plan.keep, "placement": placement})
@@ -648,12 +652,12 @@
         async with trio.open_nursery() as nursery, all_.api(party="asks") as desk:
             nursery.start_soon(placementplay.beat, stalls)
             owners = {
-                name: Owner(all_, name, number, SIZE, Moves(0), seed)
+                name: Owner(all_, name, number, size, Moves(0), seed)
                 for number, name in enumerate(plan.tenants, 1)
             }
             for owner in owners.values():
                 nursery.start_soon(owner.watch)
-            scene = Scene(all_, seed, owners, draw, desk)
+            scene = Scene(all_, seed, owners, draw, desk, size)
             nursery.start_soon(scene.load)
             began = scene.now()
             await case(scene)
--- /dev/null
+++ b/tests/test_hard_play.py
@@ -0,0 +1,44 @@
+"""Two hard cases of placement on processes, as shipped and with a router that does each of them wrong."""
+
+import trio
+
+from gaugehinge.rehearsal import hardplay, misplaced
+
+FAULTS = ("dozes", "inherits")  # woken, again
+BAD = "router-1"
+
+
+def seed_of(case: str) -> int:
+    """The first seed of a case whose woken router is cut off from the keeper."""
+    names = [each.__name__ for each in hardplay.CASES]
+    return next(
+        seed for seed in range(hardplay.FIRST, hardplay.FIRST + 1000)
+        if hardplay.case_of(seed).__name__ == case and seed // len(names) % 2
+    )
+
+
+def test_two_hard_cases_hold_and_a_router_that_does_one_wrong_is_found(tmp_path):
+    found = {}
+
+    async def one(fault, planted):
+        seed = seed_of(misplaced.FINDS[fault][0])
+        faults = {BAD: fault} if planted else None
+        folder = tmp_path / f"{fault}-{planted}"
+        found[fault, planted] = await hardplay.play(seed, folder, faults, hardplay.SMALL)
+
+    async def main():
+        with trio.fail_after(150):
+            async with trio.open_nursery() as nursery:
+                for fault in FAULTS:
+                    for planted in (False, True):
+                        nursery.start_soon(one, fault, planted)
+
+    trio.run(main)
+    for fault in FAULTS:
+        case, rules = misplaced.FINDS[fault]
+        told = "\n".join(each.told() for each in found[fault, False].breaks)
+        assert not told, f"{case}\n{told}"
+        assert any(found[fault, False].looked_at.get(rule) for rule in rules), f"{case}: nothing was shown"
+        breaks = found[fault, True].breaks
+        assert {each.rule for each in breaks} & rules, f"{fault} is not found in {case}"
+        assert all(BAD in each.parties for each in breaks if each.parties), f"{fault}: others are blamed"
