--- a/gaugehinge/rehearsal/hardplay.py
+++ b/gaugehinge/rehearsal/placementcases.py
@@ -1,7 +1,7 @@
 """The hard cases of placement, one a seed, on processes: the placement play's seeds from 1000 on.
 
 Each case pins shards under load, does what it is about, and claims what has to be so of keys in stated times
-(`hardchecks.py`); all checks of histories run beside that. With `faults`, routers or the keeper are builds of
+(`placementclaims.py`); all checks of histories run beside that. With `faults`, routers or the keeper are builds of
 `misplaced.py`, which the claims have to find.
 """
 
@@ -21,11 +21,11 @@
 from ..histories.checks import Break
 from ..histories.events import Note, OpBegan, OpEnded, Recorder, read_history
 from ..histories.reading import Reading
-from . import hardchecks, placementplay
+from . import placementclaims, placementplay
 from .company import OLD_LIST, Company, company
 from .crowd import KINDS, Party, Shape, read_answer
-from .hardchecks import Claim
 from .outcome import Outcome, judged
+from .placementclaims import Claim
 from .placementplay import LOOK, MIX, ZONES, Moves, Size, Tenant
 
 FIRST = 1000  # seed from which on cases are played
@@ -271,7 +271,7 @@
             scene.wrong("s0", f"round {number}: shown {shown}, expected one of {may}")
             return
         (region,) = shown["now"]["regions"]
-        await scene.claim("stands", hardchecks.inside, acme, "s0/", 1.0, SERVERS[ZONES[region]])
+        await scene.claim("stands", placementclaims.inside, acme, "s0/", 1.0, SERVERS[ZONES[region]])
 
 
 async def woken(scene: Scene) -> None:
@@ -311,7 +311,7 @@
         for number, line in enumerate(lines):
             if line is not None:
                 nursery.start_soon(hand, number, line)
-        nursery.start_soon(scene.claim, "woken", hardchecks.inside, acme, "s0/", LONG, SERVERS["b"])
+        nursery.start_soon(scene.claim, "woken", placementclaims.inside, acme, "s0/", LONG, SERVERS["b"])
         await trio.sleep(draw.uniform(0.05, 0.3))
         if cut:
             all_.link(name, "keeper", Fault(State.SILENT))
@@ -344,10 +344,10 @@
     await scene.refused(acme, "late", ["eu"], "no server")
     await trio.sleep(TOLD)
     await scene.together(
-        scene.claim("nowhere", hardchecks.nowhere, acme, "s0/"),
-        scene.claim("elsewhere", hardchecks.mostly, acme, "s1/", servers=SERVERS["b"]),
-        scene.claim("elsewhere", hardchecks.inside, bolt, "s1/", servers=SERVERS["b"] + SERVERS["c"]),
-        scene.claim("elsewhere", hardchecks.inside, bolt, "s0/", servers=SERVERS["b"]),
+        scene.claim("nowhere", placementclaims.nowhere, acme, "s0/"),
+        scene.claim("elsewhere", placementclaims.mostly, acme, "s1/", servers=SERVERS["b"]),
+        scene.claim("elsewhere", placementclaims.inside, bolt, "s1/", servers=SERVERS["b"] + SERVERS["c"]),
+        scene.claim("elsewhere", placementclaims.inside, bolt, "s0/", servers=SERVERS["b"]),
     )
     back = gone[-1]
     if how == "killed":
@@ -358,7 +358,7 @@
         await scene.ordered(back, "restore")
     for router in range(scene.size.routers):
         await scene.serves(acme, "s0/k1", router)
-    await scene.claim("back", hardchecks.inside, acme, "s0/", 1.0, (back,))
+    await scene.claim("back", placementclaims.inside, acme, "s0/", 1.0, (back,))
 
 
 async def drained(scene: Scene) -> None:
@@ -421,7 +421,7 @@
     if got is None or got.status_code != 409:
         scene.wrong(standing[1], f"more is taken: {got.text if got is not None else got}")
     await scene.together(*(
-        scene.claim("full", hardchecks.inside, owner, f"{shard}/", servers=("server-3",))
+        scene.claim("full", placementclaims.inside, owner, f"{shard}/", servers=("server-3",))
         for owner, shard in (taken[1], taken[2], waiting)
     ))
     await scene.serves(standing[0], f"{standing[1]}/k1", 0)
@@ -459,14 +459,14 @@
         await scene.serves(acme, "s0/k1", router)
     scene.reads("s0/", "s1/")
     await scene.together(*(
-        scene.claim("nothing_left", hardchecks.spread, acme, prefix, BURST_TIME, zones="abc")
+        scene.claim("nothing_left", placementclaims.spread, acme, prefix, BURST_TIME, zones="abc")
         for prefix in ("s0/", "s1/")
     ))
     await scene.pinned((acme, "s0", ["ap"], ONLY))
     scene.reads("s1/")
     await scene.together(
-        scene.claim("anew", hardchecks.inside, acme, "s0/", servers=SERVERS["c"]),
-        scene.claim("nothing_left", hardchecks.spread, acme, "s1/", BURST_TIME, zones="abc"),
+        scene.claim("anew", placementclaims.inside, acme, "s0/", servers=SERVERS["c"]),
+        scene.claim("nothing_left", placementclaims.spread, acme, "s1/", BURST_TIME, zones="abc"),
     )
 
 
@@ -487,8 +487,8 @@
     await scene.stands(bolt, "s0", ["eu"], "confined")
     scene.reads("s0/", lasts=LONG)
     await scene.together(
-        scene.claim("relabelled", hardchecks.inside, acme, "s0/", servers=SERVERS["b"]),
-        scene.claim("relabelled", hardchecks.inside, bolt, "s0/", servers=(rest,)),
+        scene.claim("relabelled", placementclaims.inside, acme, "s0/", servers=SERVERS["b"]),
+        scene.claim("relabelled", placementclaims.inside, bolt, "s0/", servers=(rest,)),
     )
     all_.heal()
     all_.kill(name)
@@ -500,7 +500,7 @@
     await scene.stands(acme, "s0", ["us"], "confined")
     scene.reads("s0/")
     await scene.claim(
-        "started", hardchecks.reached, acme, "s0/", BURST_TIME + WARM, (name, *SERVERS["b"]),
+        "started", placementclaims.reached, acme, "s0/", BURST_TIME + WARM, (name, *SERVERS["b"]),
     )
 
 
@@ -523,8 +523,8 @@
     await scene.stands(acme, "part", ["ap"])
     scene.reads("s0/", lasts=LONG)
     await scene.together(
-        scene.claim("split", hardchecks.inside, acme, "s0/k1", servers=SERVERS["c"]),
-        scene.claim("split", hardchecks.inside, acme, "s0/", servers=SERVERS["b"], but="s0/k1"),
+        scene.claim("split", placementclaims.inside, acme, "s0/k1", servers=SERVERS["c"]),
+        scene.claim("split", placementclaims.inside, acme, "s0/", servers=SERVERS["b"], but="s0/k1"),
     )
 
 
@@ -556,7 +556,7 @@
     all_.start("discovery", files="older")
     await all_.up("discovery")
     may = {"label": (rest,), "start": (rest,), "gone": ()}[kind]
-    look = hardchecks.none_outside
+    look = placementclaims.none_outside
     claims = [scene.claim("list_back", look, bolt, "s0/", LONG + OLD_LIST, may)]
     inside = SERVERS["b"] + ((name,) if kind == "start" else ())
     claims.append(scene.claim("list_back", look, acme, "s0/", LONG + OLD_LIST, inside))
@@ -591,8 +591,8 @@
     for router in range(scene.size.routers):
         await scene.serves(acme, "s0/k1", router)
     await scene.together(
-        scene.claim("stands", hardchecks.inside, acme, "s0/", servers=SERVERS["b"]),
-        scene.claim("stands", hardchecks.inside, bolt, "s0/", servers=SERVERS["b"]),
+        scene.claim("stands", placementclaims.inside, acme, "s0/", servers=SERVERS["b"]),
+        scene.claim("stands", placementclaims.inside, bolt, "s0/", servers=SERVERS["b"]),
     )
 
 
@@ -611,17 +611,17 @@
         await scene.stands(acme, shard, [], "held")
     await trio.sleep(TOLD)
     await scene.together(
-        scene.claim("held", hardchecks.nowhere, acme, "s0/"),
-        scene.claim("held", hardchecks.nowhere, acme, "s1/"),
+        scene.claim("held", placementclaims.nowhere, acme, "s0/"),
+        scene.claim("held", placementclaims.nowhere, acme, "s1/"),
     )
     await scene.stands(bolt, "s0", ["us"], "confined")
     await scene.pinned((acme, "s0", ["us"], ONLY), (acme, "s1", ["eu", "us"], PREFER))
     for router in range(scene.size.routers):
         await scene.serves(acme, "s0/k1", router)
     await scene.together(
-        scene.claim("stands", hardchecks.inside, acme, "s0/", servers=SERVERS["b"]),
-        scene.claim("stands", hardchecks.mostly, acme, "s1/", servers=SERVERS["a"]),
-        scene.claim("stands", hardchecks.inside, bolt, "s0/", servers=SERVERS["b"]),
+        scene.claim("stands", placementclaims.inside, acme, "s0/", servers=SERVERS["b"]),
+        scene.claim("stands", placementclaims.mostly, acme, "s1/", servers=SERVERS["a"]),
+        scene.claim("stands", placementclaims.inside, bolt, "s0/", servers=SERVERS["b"]),
     )
 
 
@@ -669,7 +669,7 @@
             nursery.cancel_scope.cancel()
         bounds = all_.bounds()
     reading = Reading.of(list(read_history(folder)))
-    broken, seen = hardchecks.judge(reading, scene.claims)
+    broken, seen = placementclaims.judge(reading, scene.claims)
     told = {**scene.told, "stalled.s": sum(until - since for since, until in stalls)}
     outcome = judged(reading, bounds, told)
     breaks = placementplay.timely(outcome.breaks, stalls)
--- a/gaugehinge/rehearsal/placementplay.py
+++ b/gaugehinge/rehearsal/placementplay.py
@@ -226,11 +226,11 @@
 
 async def play(seed: int, folder: Path, size: Size = Size(), pinned: bool = True) -> Outcome:
     """One play. Not `pinned`: the same load and faults without placement, to compare with. Seeds from
-    `hardplay.FIRST` on are its hard cases."""
-    from . import hardplay
+    `placementcases.FIRST` on are its hard cases."""
+    from . import placementcases
 
-    if seed >= hardplay.FIRST:
-        return await hardplay.play(seed, folder)
+    if seed >= placementcases.FIRST:
+        return await placementcases.play(seed, folder)
     moves = Moves(size.moves if pinned else 0)
     names = [f"s{number}" for number in range(size.shards)]
     stalls: list[tuple[float, float]] = []
--- a/tests/test_hard_play.py
+++ b/tests/test_placement_cases.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from gaugehinge.rehearsal import hardplay, misplaced
+from gaugehinge.rehearsal import misplaced, placementcases
 
 FAULTS = ("dozes", "inherits")  # woken, again
 BAD = "router-1"
@@ -10,10 +10,10 @@
 
 def seed_of(case: str) -> int:
     """The first seed of a case whose woken router is cut off from the keeper."""
-    names = [each.__name__ for each in hardplay.CASES]
+    names = [each.__name__ for each in placementcases.CASES]
     return next(
-        seed for seed in range(hardplay.FIRST, hardplay.FIRST + 1000)
-        if hardplay.case_of(seed).__name__ == case and seed // len(names) % 2
+        seed for seed in range(placementcases.FIRST, placementcases.FIRST + 1000)
+        if placementcases.case_of(seed).__name__ == case and seed // len(names) % 2
     )
 
 
@@ -24,7 +24,7 @@
         seed = seed_of(misplaced.FINDS[fault][0])
         faults = {BAD: fault} if planted else None
         folder = tmp_path / f"{fault}-{planted}"
-        found[fault, planted] = await hardplay.play(seed, folder, faults, hardplay.SMALL)
+        found[fault, planted] = await placementcases.play(seed, folder, faults, placementcases.SMALL)
 
     async def main():
         with trio.fail_after(150):
