--- a/gaugehinge/rehearsal/allplay.py
+++ b/gaugehinge/rehearsal/allplay.py
@@ -21,7 +21,7 @@
 from ..histories import figures
 from ..histories.checks import Break
 from ..histories.events import AnyEvent, Note, read_history
-from . import drainsplay, placementplay, recoveryplay
+from . import allcases, allchecks, drainsplay, placementplay, recoveryplay
 from .company import Company, Plan, company
 from .outcome import Outcome, judged
 
@@ -29,6 +29,10 @@
     "plain", "zone", "again", "router older", "router torn", "discovery last", "keeper last", "keeper older",
     "surge", "router last",
 )
+FURTHER = (  # of seeds whose last two digits are 50 or more
+    "zones apart", "disk full", "other snapshot", "half old", "guests", "limit", "disk lost", "clocks",
+    "orders", "mixed",
+)
 TENANTS = ("acme", "bolt", "coda")
 LEASE, WORK = 3.0, 0.004  # seconds; of a hit: the origin takes ten times as long
 ALONE = 1.5 * LEASE  # seconds after which a router that is cut off serves nobody
@@ -37,8 +41,9 @@
 LOOK = 0.25  # seconds between two looks of the play's own callers
 ARRIVE = 60.0  # seconds in which a shard arrives where it was asked for, on a machine with whatever load
 RESUMES = 3  # times that a roll which stopped by itself is told to go on
+OFF = (-90_000.0, -3600.0, 3600.0, 7.0, 90_000.0)  # seconds by which wall clocks are off
+TWICE = ("effects_by_mark", "effects_by_id")
 HELD = 0.3  # seconds for which the origin's answers are held just before the loss
-PART = 0.9  # of the steady service, which a return is measured by
 
 
 @dataclass(slots=True, frozen=True)
@@ -66,11 +71,19 @@
 
 def case_of(seed: int) -> str:
     """The hard case of a seed."""
-    return CASES[seed % len(CASES)]
+    return (FURTHER if seed % 100 >= 50 else CASES)[seed % 10]
+
+
+def old_half(cast: Cast) -> tuple[int, ...]:
+    """Numbers of the routers whose file is from before recovery."""
+    return tuple(range(1, cast.routers, 2))
 
 
-def plan_of(cast: Cast, folder: Path) -> Plan:
+def plan_of(cast: Cast, folder: Path, case: str = "", seed: int = 0) -> Plan:
     """What plays: the limits of drains, the regions of placement, the files of recovery."""
+    draw = random.Random(f"{seed} plan")
+    off = tuple((name, draw.choice(OFF)) for name in ("keeper", "router-0", "router-1")) * (case == "clocks")
+    old = {number: {"recovery": {"on": False}} for number in old_half(cast)} if case == "half old" else {}
     drains = drainsplay.plan_of(cast.routers, cast.servers, cast.zones)
     regions = {name: [zone] for name, zone in placementplay.ZONES.items() if zone in cast.zones}
     recovery = {
@@ -82,7 +95,7 @@
     return replace(
         drains, tenants=cast.tenants, work=WORK, lease=LEASE, warm_up=1.5, falls=True,
         keep={**drains.keep, "placement": placement},
-        serve={**drains.serve, "recovery": recovery, "placement": {"on": True}},
+        serve={**drains.serve, "recovery": recovery, "placement": {"on": True}}, serve_of=old, wall_off=off,
     )
 
 
@@ -162,6 +175,16 @@
         self.lit = trio.Event()
         self.lit.set()
 
+    async def _nodes(self, desk: httpx.AsyncClient) -> None:
+        """In doubt, nothing is confirmed before every router was heard of."""
+        told = (await desk.get("/v1/grants")).json()
+        if told["doubt"]:
+            nodes = [*told["refused"], *(node["node"] for node in told["nodes"])]
+            heard = {name.partition("@")[0] for name in nodes}
+            if not {name for name in self.all.children if name.startswith("router-")} <= heard:
+                return
+        await super()._nodes(desk)
+
     async def _again(self, name: str) -> None:
         child = self.all.children[name]
         start = child.starts
@@ -184,6 +207,10 @@
     told: dict[str, float] = field(default_factory=dict)
     breaks: list[Break] = field(default_factory=list)
     over: trio.Event = field(default_factory=trio.Event)  # of the load
+    asker: allcases.Asker = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.asker = allcases.Asker(self.all)
 
     @property
     def names(self) -> list[str]:
@@ -249,7 +276,13 @@
     async def lose(self, case: str) -> None:
         """Power fails, and returns."""
         all_, lit = self.all, trio.Event()
+        if case == "zones apart":
+            return await self.part()
+        if case == "disk lost" and self.draw.random() < 0.5:
+            return await self.new_disk()  # of the keeper alone; all others live on
         self.supervisor.lit = lit
+        if case == "mixed":
+            case = self.draw.choice(("plain", "zone", "again", "keeper last", "disk full"))
         zone = self.draw.choice(self.cast.zones) if case == "zone" else ""
         all_.power_loss(zone)
         all_.heal()
@@ -267,6 +300,13 @@
             all_.load(2.0 * self.cast.rate, 3.0, wait=1.5, tries=4, mix=placementplay.MIX, keys=50)
         last = {"discovery last": "discovery", "keeper last": "keeper", "router last": one}.get(case, "")
         files = {}
+        if case in ("disk full", "disk lost") or (case == "other snapshot" and self.draw.random() < 0.5):
+            last = "keeper"
+        if case == "other snapshot":
+            allcases.other_installation(all_, one)
+        if case == "clocks":
+            for name in ("keeper", *(f"router-{number}" for number in range(2, self.cast.routers))):
+                all_.children[name].wall_off = self.draw.choice((0.0, *OFF))
         if case == "router older":
             files[one] = "older"
         elif case == "router torn":
@@ -277,11 +317,85 @@
                 tenant.unsure |= set(self.names)
         names = [name for name, child in all_.children.items() if not child.runs and name != last]
         await self.start(names, files)
-        if last:
+        if case == "disk full":
+            await self.full_disk()
+        elif case == "disk lost":
+            await self.new_disk()
+        elif last:
             await trio.sleep(self.draw.uniform(2.0, 6.0))
             await self.start([last])
         lit.set()
 
+    async def full_disk(self) -> None:
+        """The keeper does not come up on its disk, then does while that takes nothing more; then all is well."""
+        all_ = self.all
+        all_.start("keeper", "unwritable")
+        with trio.move_on_after(self.draw.uniform(1.0, 4.0)):
+            await all_.over("keeper")
+            await trio.sleep_forever()
+        all_.kill("keeper")
+        await all_.over("keeper")
+        all_.start("keeper")
+        allcases.disk(all_, True)
+        await trio.sleep(self.draw.uniform(2.0, 4.0))
+        allcases.disk(all_, False)
+        if not all_.children["keeper"].runs:
+            all_.start("keeper")
+
+    async def new_disk(self) -> None:
+        """The keeper's disk is lost: an empty one, and what an operator does."""
+        all_ = self.all
+        allcases.not_first(all_.folder)
+        all_.heal()
+        all_.kill("keeper")
+        await all_.over("keeper")
+        await trio.sleep(self.draw.uniform(0.5, 3.0))
+        for tenant in self.tenants:
+            tenant.unsure |= set(self.names)
+        all_.start("keeper", "none")
+        wrong = await allcases.new_disk(all_, self.draw)
+        self.breaks += [Break("restored", each, ("keeper",), 0.0, 0.0, each) for each in wrong]
+
+    async def part(self) -> None:
+        """Two zones cut apart for longer than all leases, with half of them from the keeper too; a router of
+        each starts anew meanwhile. All lived on."""
+        all_ = self.all
+        all_.heal()
+        for name in all_.children:
+            all_.go_on(name)
+        await self.start([name for name, child in all_.children.items() if not child.runs])
+        zones = self.draw.sample(self.cast.zones, 2)
+        allcases.part_zones(all_, zones, self.draw.random() < 0.5)
+        for zone in zones:
+            await trio.sleep(self.draw.uniform(0.5, 2.0))
+            names = [n for n, c in all_.children.items() if c.zone == zone and n.startswith("router-")]
+            await self.dies(self.draw.choice(names))
+        await trio.sleep(drainsplay.OUTLASTS + self.draw.uniform(1.0, 4.0))
+        allcases.join_zones(all_, zones)
+
+    # -- what operators do all the while
+
+    def busy(self, nursery: trio.Nursery, case: str) -> None:
+        """Begin what the case asks for."""
+        if case in ("guests", "mixed"):
+            nursery.start_soon(allcases.comes_and_goes, self.all, self.draw_for("g"), self.told, self.asker)
+        if case in ("limit", "mixed"):
+            nursery.start_soon(allcases.lowers, self.all, self.draw_for("l"), self.told)
+        if case == "orders" or (case == "mixed" and "servers" not in self.kinds):
+            nursery.start_soon(allcases.orders, self.all, self.draw_for("o"), self.told)
+
+    def draw_for(self, what: str) -> random.Random:
+        """Chance of its own, which calls that take longer do not shift."""
+        return random.Random(f"{self.seed} {what}")
+
+    def put_claims(self) -> None:
+        """What routers said of a loss, from their logs, into the history."""
+        for name in [name for name in self.all.children if name.startswith("router-")]:
+            for line in self.all.log(name).splitlines():
+                if "recovery: " in line and " after " in line:
+                    at = self.supervisor._when(line)
+                    self.all.recorder.put(Note(at, "play", f"{name}|{line.partition('recovery: ')[2]}"))
+
     async def start(self, names: list[str], files: dict[str, str] | None = None) -> None:
         """In an order of chance, with gaps of chance."""
         names = sorted(names)
@@ -364,7 +478,7 @@
     (folder / "key").write_text(recoveryplay.KEY)
     moves = placementplay.Moves(1_000_000)
     size = placementplay.Size(routers=cast.routers, servers=cast.servers, lasts=ARRIVE, lease=LEASE)
-    async with company(folder, seed, plan_of(cast, folder)) as all_:
+    async with company(folder, seed, plan_of(cast, folder, case, seed)) as all_:
         await all_.ready()
         await drainsplay.granted(all_)
         tenants = [Tenant(all_, name, n + 1, size, moves, seed) for n, name in enumerate(cast.tenants)]
@@ -378,6 +492,7 @@
                 for name in show.names:
                     nursery.start_soon(tenant.drive, name, f"{name}/")
             began = all_.recorder.now()
+            show.busy(nursery, case)
             async with all_.api(party="roller") as desk:
                 rolls = {kind: await show.ordered(desk, kind) for kind in show.kinds}
                 with trio.move_on_after(cast.before):
@@ -387,6 +502,9 @@
                         for name in [f"router-{number}" for number in range(cast.routers)] + ["keeper"]:
                             all_.keep_copy(name)
                         await trio.sleep_forever()
+                if case == "disk full":
+                    allcases.disk(all_, True)
+                    await trio.sleep(show.draw.uniform(0.5, 3.0))
                 for number in range(cast.routers):  # a loss is about what ran and was not answered yet
                     all_.link(f"router-{number}", "origin", Fault(State.SILENT_BACK))
                 await trio.sleep(HELD)
@@ -397,6 +515,9 @@
                     await show.rolled(desk, ident, kind)
             moves.left = 0
             await show.settled()
+            late = await show.asker.serves()
+            show.breaks += [Break("serves", each, tuple(each.split()), 0.0, 0.0, "no read") for each in late]
+            show.put_claims()
             for tenant in tenants:
                 tenant.over = True
             show.over.set()
@@ -407,8 +528,15 @@
         show.told["no_router"] = float(all_.crowd.tally.no_router)  # tries that found none to be sent to
     history = list(read_history(folder))
     told = {**show.told, **_figures(history, began, lost, bounds.limits["origin"]), **_moved(moves)}
+    told |= allchecks.looked(history)
     outcome = judged(history, bounds, told)
-    return replace(outcome, breaks=[*outcome.breaks, *drainsplay.twice(orders), *show.breaks])
+    routers = [f"router-{number}" for number in range(cast.routers)]
+    more = [*allchecks.further(history, ALONE, routers), *drainsplay.twice(orders), *show.breaks]
+    found = outcome.breaks
+    if case == "half old":
+        found = allchecks.without(history, found, TWICE, [f"router-{number}" for number in old_half(cast)])
+        told["old.twice"] = float(len(outcome.breaks) - len(found))
+    return replace(outcome, breaks=[*found, *more])
 
 
 async def _pins(all_: Company, nursery: trio.Nursery, show: Show) -> None:
@@ -444,14 +572,14 @@
             told[f"{name}.served"] = _served(history, *window)
     back = figures.returns(history, lost, (began, lost), "all").get("all")
     if back:
-        told |= {"first.s": back.first, "to_90.s": back.to.get(PART, math.inf)}
+        told |= {f"to_{part * 100:.0f}.s": at for part, at in back.to.items()}
+        told["first.s"] = back.first
     told["origin.most"] = float(figures.most_connections(history).get("origin", 0))
     told["origin.limit"] = float(limit)
     return {name: value for name, value in told.items() if math.isfinite(value)}
 
 
 
-
 def _served(history: list[AnyEvent], since: float, until: float) -> float:
     """Of what clients wanted, the part that settled by one try or another."""
     began, ended = figures.ends(history)
--- a/gaugehinge/rehearsal/company.py
+++ b/gaugehinge/rehearsal/company.py
@@ -93,6 +93,7 @@
     keep: dict[str, Any] = field(default_factory=dict)  # further tables of the keeper's file, as in TOML
     serve: dict[str, Any] = field(default_factory=dict)  # further tables of each router's file; in texts of
     # both `{name}` is the party, `{files}` the folder of its own files, `{number}` a router's number
+    serve_of: dict[int, dict[str, Any]] = field(default_factory=dict)  # further ones of single routers' files
 
 
 class Recorded(httpx.AsyncHTTPTransport):
@@ -233,7 +234,7 @@
         _write(self.children["keeper"], keeper, plan.keep, 0)
         for number in range(plan.routers):
             child = self.children[f"router-{number}"]
-            _write(child, self._router_file(number, child), plan.serve, number)
+            _write(child, self._router_file(number, child), self._more(number), number)
         names = {ground.at(number + 1, 1): f"router-{number}" for number in range(plan.routers)}
 
         def common(name: str, address: tuple[str, int]) -> tuple[Any, ...]:
@@ -256,6 +257,9 @@
             [ground.server(number) for number in range(plan.servers)], keep_idle=plan.keep_idle,
         ))
 
+    def _more(self, number: int) -> dict[str, Any]:
+        return _merged(self.plan.serve, self.plan.serve_of.get(number, {}))
+
     def _write_part(self, part: Part) -> None:
         (self.folder / f"{part.name}.json").write_bytes(msgspec.json.encode(part))
 
@@ -512,9 +516,13 @@
         """The keeper's API, as the first operator or as the bearer of a secret; every call is on record."""
         self.desks += 1
         recorder = self.record_of(party or f"operator-{self.desks}")
+
+        def bears(request: httpx.Request) -> httpx.Request:
+            request.headers["Authorization"] = f"Bearer {secret or self.root}"  # a new store has a new one
+            return request
+
         return httpx.AsyncClient(
-            base_url=f"http://{_told(self.ground.desk())}", transport=Recorded(recorder),
-            headers={"Authorization": f"Bearer {secret or self.root}"},
+            base_url=f"http://{_told(self.ground.desk())}", transport=Recorded(recorder), auth=bears,
             timeout=httpx.Timeout(10.0, connect=2.0),
         )
 
--- a/gaugehinge/rehearsal/crowd.py
+++ b/gaugehinge/rehearsal/crowd.py
@@ -89,9 +89,12 @@
 
     def __init__(
         self, nursery: trio.Nursery, seed: int, doors: list[tuple[str, int]], secrets: dict[str, str],
-        recorder: Callable[[str], Recorder], source: str,
+        recorder: Callable[[str], Recorder], source: str, head: str = "client",
     ) -> None:
-        """`doors`: where routers are found; `recorder` makes a party's history; `source`: their address."""
+        """`doors`: where routers are found; `recorder` makes a party's history; `source`: their address;
+        `head`: before the numbers in their names. A tenant's name may have `#` and a number behind it, by
+        which histories tell its incarnations apart."""
+        self.head = head
         self.nursery = nursery
         self.draw = random.Random(f"{seed} crowd")
         self.doors, self.secrets, self.source = doors, secrets, source
@@ -111,7 +114,7 @@
         tenants = list(self.secrets)
         while len(self.parties) < count:
             number = len(self.parties)
-            name = f"client-{number}"
+            name = f"{self.head}-{number}"
             home = number // len(tenants) % len(self.doors)
             self.parties.append(Party(name, tenants[number % len(tenants)], home, self.recorder(name)))
         self._begin()
@@ -273,7 +276,8 @@
             with trio.move_on_after(CONNECT_TIME):
                 raw.bind((self.source, 0))
                 await connect(raw, self.doors[router])
-                reply = await self._ask(line, ["AUTH", party.tenant, self.secrets[party.tenant]])
+                name = party.tenant.partition("#")[0]
+                reply = await self._ask(line, ["AUTH", name, self.secrets[party.tenant]])
                 good = reply == b"+OK\r\n"
         except OSError:
             return None
