A full disk is no damage, and ends no keeper

Cause: whatever sqlite said at the opening of a file but a lock was called damage, and a store on a full disk says 'disk I/O error' (it cannot write its shared memory): an operator would have put an older copy in the place of a whole file. The hourly copy that found no room raised what nobody caught, and ended the keeper; so did the one at an ordered end, with a trace. Change: a write that was not taken is waited for at the start, then told as such; copies raise Full, which is a line in the log. Found by a play in which the kernel refuses the keeper's writes; the test fails without it.

--- a/gaugehinge/admin/keep.py
+++ b/gaugehinge/admin/keep.py
@@ -222,6 +222,9 @@
                 logger.info("keeper of {} at {}: revision {}", told.store, told.listen, keeper.rev)
                 await serve(Api(administration).app(), config, shutdown_trigger=end.wait)
                 nursery.cancel_scope.cancel()
-        await keeper.snapshot()
+        try:
+            await keeper.snapshot()
+        except (OSError, Full) as bad:  # an end as ordered: the store itself is whole
+            logger.error("no snapshot: {}", bad)
     finally:
         keeper.close()
--- a/gaugehinge/store/keeper.py
+++ b/gaugehinge/store/keeper.py
@@ -17,7 +17,7 @@
 import trio
 from loguru import logger
 
-from .store import Change, Damaged, Store, Wanted, snapshots
+from .store import Change, Damaged, Full, Store, Wanted, snapshots
 
 T = TypeVar("T")
 
@@ -134,7 +134,7 @@
             await trio.sleep(SNAPSHOT_EVERY)
             try:
                 await self.snapshot()
-            except (OSError, Damaged, Overloaded) as bad:
+            except (OSError, Damaged, Full, Overloaded) as bad:
                 logger.error("no snapshot: {}", bad)
 
     async def snapshot(self) -> Path | None:
--- a/gaugehinge/store/store.py
+++ b/gaugehinge/store/store.py
@@ -26,6 +26,10 @@
 BUSY_TIME = 2.0  # seconds that another connection's lock is waited for
 OPEN_TIME = 15.0  # the same at the start: whoever copies a file that was just left behind locks all of it
 MOST_BODY = 256 * 1024  # bytes of one thing
+WRITES_FAILED = (  # all say that a write was not taken, none that anything that stands is wrong
+    sqlite3.SQLITE_FULL, sqlite3.SQLITE_IOERR_WRITE, sqlite3.SQLITE_IOERR_FSYNC,
+    sqlite3.SQLITE_IOERR_TRUNCATE, sqlite3.SQLITE_IOERR_SHMSIZE, sqlite3.SQLITE_IOERR_SHMOPEN,
+)
 
 
 class Damaged(Exception):
@@ -33,7 +37,8 @@
 
 
 class InUse(Damaged):
-    """Another process holds the file. Nothing is known to be wrong with it, and nothing is to be restored."""
+    """Another process holds the file, or its disk is full. Nothing is known to be wrong with it, and nothing
+    is to be restored."""
 
 
 class Conflict(Exception):
@@ -88,7 +93,8 @@
     """One file. Not for several threads at a time; several processes may read while one writes."""
 
     def __init__(self, path: str | Path, read_only: bool = False) -> None:
-        """Open, and bring to this version; a file that is in use is waited for. Raises Damaged, InUse."""
+        """Open, and bring to this version; a file that is in use, or whose disk is full,
+        is waited for. Raises Damaged, InUse."""
         self.path = Path(path)
         uri = f"{self.path.absolute().as_uri()}?mode={'ro' if read_only else 'rwc'}"
         end = time.monotonic() + OPEN_TIME
@@ -100,10 +106,12 @@
                 self._open(read_only)
                 return
             except sqlite3.DatabaseError as bad:
-                if not _is_busy(bad):
+                # A disk that is full cannot take what is written to open a file: called damage, an operator
+                # would put an older copy in the place of a file that is whole.
+                if not (_is_busy(bad) or _takes_nothing(bad)):
                     raise Damaged(self._lost(str(bad))) from None
                 if time.monotonic() > end:
-                    raise InUse(f"{self.path}: in use by another process ({bad})") from None
+                    raise self._not_now(bad) from None
             self.db.close()
             time.sleep(BUSY_TIME / 40)
 
@@ -306,10 +314,14 @@
                 raise Damaged(self._lost("; ".join(told)))
             self._verify_log()
         except sqlite3.DatabaseError as bad:
-            if _is_busy(bad):
-                raise InUse(f"{self.path}: in use by another process ({bad})") from None
+            if _is_busy(bad) or _takes_nothing(bad):
+                raise self._not_now(bad) from None
             raise Damaged(self._lost(str(bad))) from None
 
+    def _not_now(self, bad: sqlite3.DatabaseError) -> InUse:
+        why = "in use by another process" if _is_busy(bad) else "its disk takes nothing more"
+        return InUse(f"{self.path}: {why} ({bad})")
+
     def _verify_log(self) -> None:
         """The chain of digests, and that the state is what the log adds up to as far as it goes back."""
         before, last = self._base(), None
@@ -340,7 +352,7 @@
 
     def backup(self, target: str | Path) -> int:
         """A copy of the whole, taken while changes go on; its revision. It stands whole under its name or not
-        at all."""
+        at all. Raises Full."""
         target = Path(target)
         part = target.with_name(target.name + ".part")
         part.unlink(missing_ok=True)
@@ -349,6 +361,12 @@
             self.db.backup(copy, pages=256)
             copy.execute("PRAGMA journal_mode=DELETE")
             rev = copy.execute("SELECT coalesce(max(rev), 0) FROM change").fetchone()[0]
+        except sqlite3.OperationalError as bad:
+            # As any other change: a keeper whose hourly copy finds no room has to go on without one.
+            if not _is_full(bad):
+                raise
+            part.unlink(missing_ok=True)
+            raise Full(str(bad)) from None
         finally:
             copy.close()
         part.replace(target)
@@ -359,6 +377,10 @@
     return getattr(bad, "sqlite_errorcode", 0) & 0xFF in (sqlite3.SQLITE_BUSY, sqlite3.SQLITE_LOCKED)
 
 
+def _takes_nothing(bad: sqlite3.DatabaseError) -> bool:
+    return getattr(bad, "sqlite_errorcode", 0) in WRITES_FAILED
+
+
 def _is_full(bad: sqlite3.OperationalError) -> bool:
     return getattr(bad, "sqlite_errorcode", 0) & 0xFF in (sqlite3.SQLITE_FULL, sqlite3.SQLITE_IOERR)
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -4,6 +4,8 @@
 import random
 import shutil
 import sqlite3
+import subprocess
+import sys
 import threading
 from contextlib import closing
 from pathlib import Path
@@ -194,6 +196,40 @@
     store.verify()
 
 
+FULL = """
+import resource, sys, trio
+from gaugehinge.store import keeper, store
+store.OPEN_TIME = 0.2
+path, after = sys.argv[1], sys.argv[2] == "after"
+held = keeper.StoreKeeper(path) if after else None
+resource.setrlimit(resource.RLIMIT_FSIZE, (0, -1))  # each write is refused: as on a full disk
+try:
+    if after:
+        keeper.SNAPSHOT_EVERY = 0.01
+        async def care():
+            with trio.move_on_after(0.2):
+                await held.care()
+        trio.run(care)
+        held.store.backup(path + ".copy")
+    else:
+        store.Store(path).verify()
+except Exception as bad:
+    print(type(bad).__name__, bad)
+"""
+
+
+@pytest.mark.parametrize("when, told", [("before", "InUse"), ("after", "Full")])
+def test_a_full_disk_is_no_damage_and_ends_no_keeper(tmp_path, when, told):
+    path = tmp_path / "s.db"
+    filled(path).close()
+    done = subprocess.run(
+        [sys.executable, "-B", "-c", FULL, path, when], capture_output=True, text=True, timeout=60
+    )
+    assert done.stdout.startswith(told) and "damaged" not in done.stdout, done.stdout + done.stderr
+    with closing(Store(path)) as store:
+        store.verify()
+
+
 KILLS = 20
 
 
