A keeper that is started on a full disk begins its grants when there is room

Cause: the first change of the drains' part stood outside of what its loop catches; on a full disk the keeper ended with a trace, and with it the leases of all routers. Change: it is tried again each second. The test fails without it.

--- a/gaugehinge/drains/keeper.py
+++ b/gaugehinge/drains/keeper.py
@@ -194,7 +194,14 @@
 
     async def run(self) -> None:
         """Plan until cancelled."""
-        await self._begin()
+        while not self.ready:
+            try:
+                await self._begin()
+            except (Conflict, Full, Overloaded, OSError) as bad:
+                # Started on a full disk: its end would take the leases of all routers with it, and with
+                # them service.
+                logger.warning("drains not begun: {}", bad)
+                await trio.sleep(TICK)
         while True:
             with trio.move_on_after(TICK):
                 await self.news.wait()
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -43,6 +43,7 @@
 from gaugehinge.rehearsal.hostedplay import CHEAP
 from gaugehinge.rehearsal.plays import run_many
 from gaugehinge.store.keeper import StoreKeeper
+from gaugehinge.store.store import Full
 from gaugehinge.tenancy.credentials import Attempts
 from gaugehinge.tenancy.feed import Report
 from gaugehinge.terms import Leg, Listing, Outcome, Presence
@@ -591,6 +592,25 @@
     raise AssertionError("nothing was granted")
 
 
+def test_a_keeper_that_is_started_on_a_full_disk_begins_when_there_is_room(tmp_path, monkeypatch):
+    planned, failed = StoreKeeper.apply_planned, []
+
+    async def full(self, plan, who, **more):
+        if who == "drains" and len(failed) < 2:
+            failed.append(who)
+            raise Full("disk I/O error")
+        return await planned(self, plan, who, **more)
+
+    async def scene():
+        monkeypatch.setattr(StoreKeeper, "apply_planned", full)
+        monkeypatch.setattr("gaugehinge.drains.keeper.TICK", 0.01)
+        async with desk_of(tmp_path) as all_:
+            assert len(failed) == 2
+            assert (await all_.desk.get("/v1/limits/origin")).json()["most"] == 20
+
+    trio.run(scene)
+
+
 def test_limits_grants_and_rolls_by_the_api(tmp_path):
     async def scene():
         async with desk_of(tmp_path) as all_:
