A number that another store gave to another tenant is another bearer

Cause: a bearer was brought up to date by its number alone and kept its name. Change: another name is another bearer, the former is gone, what tables knew of it goes. The test fails without it.

--- a/gaugehinge/hosted/roster.py
+++ b/gaugehinge/hosted/roster.py
@@ -95,7 +95,9 @@
             places[bearer.place] = standing[bearer.incarnation] = bearer
         anew = {
             place for place, bearer in places.items()
-            if (before := self.by_place.get(place)) is None or before.incarnation != bearer.incarnation
+            if (before := self.by_place.get(place)) is None or (before.incarnation, before.name) != (
+                bearer.incarnation, bearer.name
+            )
         }
         drained = frozenset(feed.drained)
         orders = drained if drained != self.drained or not self.known else None
@@ -125,7 +127,9 @@
     def _take(self, feed: Feed, standing: dict[int, Bearer], places: dict[int, Bearer]) -> None:
         for number, before in self.by_incarnation.items():
             after = standing.get(number)
-            if after is None:
+            # Another store gives a number again. To bring the former bearer up to date would leave its name:
+            # its tenant's own secret is then one of another tenant, and nobody is let in until a new start.
+            if after is None or after.name != before.name:
                 before.gone = True  # connections that came in as it hold it still
                 self.log.append(f"tenant {before.name} #{number} gone at revision {feed.revision}")
             elif after is not before:
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -127,6 +127,16 @@
         assert again.tenants() == roster.tenants() and again.revision == revision
 
 
+def test_a_number_that_another_store_gave_to_another_tenant_is_another_bearer():
+    roster = Roster()
+    roster.hear(whole(row(), row("bolt", 2, 1), store="of another installation"))
+    former = roster.by_incarnation[1]
+    change = roster.hear(whole(row("bolt", 1, 0), row("bolder", 2, 1)))
+    assert [roster.by_incarnation[number].name for number in (1, 2)] == ["bolt", "bolder"]
+    assert former.gone and former.why_not("", 0.0) == "authentication required"
+    assert change.anew == {0, 1}
+
+
 def test_a_credential_ends_by_the_clock_and_by_being_taken_out():
     old, new = Credential("a", "h", 0.0, ends=100.0), Credential("b", "h", 1.0)
     roster = Roster()
