A router reads its secret again where the keeper knows it no more

Cause: after the loss of the keeper's disk no router has a secret that the new store knows, and they read the file at their start alone: each had to be restarted, by hand, since none is told to leave in turn. Change: after a 401 the file is read again for the next call. The test fails without it.

--- a/gaugehinge/hosted/build.py
+++ b/gaugehinge/hosted/build.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 
 import httpx
@@ -14,17 +15,13 @@
 from ..net.service import Service
 from ..tenancy.credentials import Attempts, Hasher
 from ..tenancy.feed import WAIT
-from .follower import CONNECT_TIME, SLACK, Follower, Snapshot
+from .follower import CONNECT_TIME, SLACK, BadSecret, Follower, Snapshot
 from .front import HostedClients
 from .gate import Gate
 from .overlay import Overlay
 from .roster import Roster
 
 
-class BadSecret(ValueError):
-    """The file with the secret cannot be used."""
-
-
 def read_secret(path: str) -> str:
     """Its only line. Raises BadSecret."""
     try:
@@ -60,6 +57,7 @@
         )
         snapshot = Snapshot(entry.snapshot) if entry.snapshot else None
         follower = Follower(service, roster, Overlay(), client, snapshot, entry.most_tenants)
+        follower.read_secret = partial(read_secret, entry.secret_file)
         follower.begin()
         nursery.start_soon(follower.run)
         return follower
--- a/gaugehinge/hosted/follower.py
+++ b/gaugehinge/hosted/follower.py
@@ -113,6 +113,7 @@
         self.wait = WAIT  # seconds that a call may stand open; less where leases are short
         self.first_at_once = False  # no call stands open until one was heard: it asks who is there
         self.slack = SLACK  # over that, until a call counts as failed; less where leases are short
+        self.read_secret: Callable[[], str] | None = None  # again, where the keeper knows it no more
 
     # -- the start
 
@@ -151,7 +152,7 @@
                     self._carry_out(self.roster.hear(feed))
                     for part in self.parts:
                         part.hear(feed, asked_at)
-                except (httpx.HTTPError, msgspec.MsgspecError, BadFeed, Refused) as bad:
+                except (httpx.HTTPError, msgspec.MsgspecError, BadFeed, BadSecret, Refused) as bad:
                     await trio.sleep(self._failed(bad))
                     continue
                 self._heard(before)
@@ -168,6 +169,10 @@
         self.calls += 1
         with trio.move_on_after(CONNECT_TIME + wait + self.slack):
             answer = await self.client.post("/v1/feed", content=msgspec.json.encode(report))
+            if answer.status_code == 401 and self.read_secret is not None:
+                # A keeper whose disk was lost has none of the secrets. Routers that read theirs at the start
+                # alone would all have to be restarted for a new one, and none would be let leave in turn.
+                self.client.headers["Authorization"] = f"Bearer {self.read_secret()}"
             if answer.status_code != 200:
                 raise Refused(f"status {answer.status_code}")
             if len(answer.content) > MOST_FEED:
@@ -240,5 +245,9 @@
             await trio.sleep(SAVE_REST)
 
 
+class BadSecret(ValueError):
+    """The file with the secret cannot be used."""
+
+
 class Refused(Exception):
     """The keeper did not tell."""
--- a/tests/test_parts_together.py
+++ b/tests/test_parts_together.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from gaugehinge.hosted.build import read_secret
 from gaugehinge.hosted.follower import Follower
 from gaugehinge.hosted.overlay import Overlay
 from gaugehinge.hosted.roster import Roster
@@ -35,6 +36,7 @@
         self.fed = trio.Event()
         self.silent = silent  # the keeper tells nothing
         self.lists: list[list] = []  # of servers that the keeper was told
+        self.secret = ""  # that the keeper knows; empty: it does not ask
 
     def extend(self, service, nursery):
         client = httpx.AsyncClient(base_url="http://keeper", transport=httpx.MockTransport(self.keeper))
@@ -48,6 +50,8 @@
     async def keeper(self, request):
         if self.silent:
             await trio.sleep_forever()
+        if self.secret and request.headers.get("Authorization") != f"Bearer {self.secret}":
+            return httpx.Response(401)
         report = msgspec.json.decode(request.content, type=Report)
         self.waits.append(report.wait)
         said = msgspec.json.decode(report.parts["placement"], type=RouterTold)
@@ -143,3 +147,24 @@
         assert len(made.lists[0]) == 1
 
     play(tmp_path, look)
+
+
+def test_a_router_reads_its_secret_again_where_a_keeper_with_a_new_disk_knows_it_no_more(tmp_path):
+    async def look(made, all_):
+        await made.fed.wait()
+        file = tmp_path / "secret"
+        file.write_text("former\n")
+        made.follower.read_secret = partial(read_secret, str(file))
+        made.secret, made.fed = "newer", trio.Event()
+        calls = len(made.waits)
+        while not made.follower.away_since:
+            await trio.sleep(0.01)
+        file.unlink()  # amid its change
+        await trio.sleep(0.3)
+        file.write_text("newer\n")
+        while len(made.waits) == calls:
+            await trio.sleep(0.01)
+        while made.follower.away_since:
+            await trio.sleep(0.01)
+
+    play(tmp_path, look)
