--- a/gaugehinge/rehearsal/allplay.py
+++ b/gaugehinge/rehearsal/allplay.py
@@ -327,7 +327,7 @@
         lit.set()
 
     async def full_disk(self) -> None:
-        """The keeper does not come up on its disk, then does while that takes nothing more; then all is well."""
+        """The keeper does not come up on its disk; then it is started while that takes nothing more."""
         all_ = self.all
         all_.start("keeper", "unwritable")
         with trio.move_on_after(self.draw.uniform(1.0, 4.0)):
@@ -337,7 +337,10 @@
         await all_.over("keeper")
         all_.start("keeper")
         allcases.disk(all_, True)
-        await trio.sleep(self.draw.uniform(2.0, 4.0))
+        child = all_.children["keeper"]
+        while child.runs and not child.up.is_set():
+            await trio.sleep(LOOK)
+        await trio.sleep(self.draw.uniform(1.0, 3.0))
         allcases.disk(all_, False)
         if not all_.children["keeper"].runs:
             all_.start("keeper")
@@ -503,8 +506,9 @@
                             all_.keep_copy(name)
                         await trio.sleep_forever()
                 if case == "disk full":
+                    await all_.up("keeper")
                     allcases.disk(all_, True)
-                    await trio.sleep(show.draw.uniform(0.5, 3.0))
+                    await trio.sleep(show.draw.uniform(1.0, 4.0))
                 for number in range(cast.routers):  # a loss is about what ran and was not answered yet
                     all_.link(f"router-{number}", "origin", Fault(State.SILENT_BACK))
                 await trio.sleep(HELD)
