--- a/gaugehinge/admin/keep.py
+++ b/gaugehinge/admin/keep.py
@@ -125,6 +125,10 @@
     keep_alive: Annotated[Seconds, Meta(description="a connection idle for so long ends")] = default(
         Seconds(30.0)
     )
+    numbers_above: Annotated[
+        int,
+        Meta(description="new tenants get higher numbers; after a lost disk: all ever given", ge=0, le=1 << 40),
+    ] = 0
     leases: LeasesEntry = default(LeasesEntry())
     placement: KeepPlacement = default(KeepPlacement())
     drains: KeepDrains = default(KeepDrains())
@@ -190,6 +194,7 @@
     keeper = StoreKeeper(told.store)
     try:
         administration = Administration(keeper, hasher or Hasher(), Attempts(1, keeper.clock()))
+        administration.numbers_above = told.numbers_above
         secret = await administration.first_operator()
         await administration.ready()
         if told.leases.on:
--- a/gaugehinge/admin/service.py
+++ b/gaugehinge/admin/service.py
@@ -129,6 +129,7 @@
         self.lease = 0.0  # seconds that each answer to a router gives it; 0: none, and no part is on
         self.leases = Ledger(time.monotonic(), 0.0)  # `give_leases` sets it
         self.parts: list[Part] = []  # fixed before the API is served
+        self.numbers_above = 0  # of incarnations: a store made anew knows none that another one gave
         self.told: dict[int, str] = {}  # revisions that this run told, and their marks; TOLD_MOST of them
 
     def give_leases(self, lease: float) -> None:
@@ -224,7 +225,8 @@
         def plan(store: Store, now: float) -> list[Wanted]:
             held = store.get(TENANT, new.name)
             counter = store.get(COUNTER, INCARNATION)
-            last = int(counter.body) if counter else 0
+            # A number that a lost store gave is a key space that still has values of the one that bore it.
+            last = max(int(counter.body) if counter else 0, self.numbers_above)
             try:
                 life = create(new.name, [_kept(held).tenancy] if held else [], last, now)
             except Refused as bad:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -106,6 +106,16 @@
     run(scene)
 
 
+def test_a_store_made_anew_gives_no_number_that_a_lost_one_gave(tmp_path):
+    async def scene():
+        async with office(tmp_path) as desk:
+            desk.administration.numbers_above = 40
+            numbers = [(await desk.make(name)).json()["incarnation"] for name in ("acme", "bolt")]
+            assert numbers == [41, 42]
+
+    run(scene)
+
+
 def test_of_two_admins_one_is_told(tmp_path):
     async def scene():
         async with office(tmp_path) as desk:
