--- a/gaugehinge/admin/keep.py
+++ b/gaugehinge/admin/keep.py
@@ -127,7 +127,7 @@
     )
     numbers_above: Annotated[
         int,
-        Meta(description="new tenants get higher numbers; after a lost disk: all ever given", ge=0, le=1 << 40),
+        Meta(description="new tenants' numbers are above; see docs/on-call.md", ge=0, le=1 << 40),
     ] = 0
     leases: LeasesEntry = default(LeasesEntry())
     placement: KeepPlacement = default(KeepPlacement())
