--- a/gaugehinge/rehearsal/allcases.py
+++ b/gaugehinge/rehearsal/allcases.py
@@ -314,6 +314,9 @@
     """What an operator does after the keeper's disk was lost (docs/on-call.md): the routers' secret, tenants
     with their secrets, in an order of chance; those whose numbers routers refuse are made again. All nodes
     are confirmed by the supervisor. How many were made again."""
+    waits = all_.crowd.told_to_wait
+    if draw.random() < 0.7:  # else clients go on with secrets that nobody knows, and routers keep them out
+        waits |= set(all_.plan.tenants)
     await all_.up("keeper")  # its new first operator stands in its log
     again = 0
     async with all_.api(party="restorer") as desk:
@@ -330,4 +333,5 @@
             for name in names:
                 again += 1
                 await called(desk, "DELETE", f"/v1/tenants/{name}", tagged=f"/v1/tenants/{name}")
+            waits &= set(names)
     return again
--- a/gaugehinge/rehearsal/crowd.py
+++ b/gaugehinge/rehearsal/crowd.py
@@ -17,6 +17,7 @@
 AWAY_TIME = 0.5  # seconds for which a client keeps off a router that was gone
 LATE = 1.0  # seconds beyond the abandon time for which a late answer is looked for
 MEMORY_ROOM = 0.5  # seconds before the end of a mark's memory in which no repeat is begun
+UNKNOWN = b"-ERR authentication required"
 RETRY = 0.2  # seconds, where a bounce tells no time; up to twice that
 
 
@@ -100,6 +101,7 @@
         self.doors, self.secrets, self.source = doors, secrets, source
         self.recorder = recorder
         self.parties: list[Party] = []
+        self.told_to_wait: set[str] = set()  # tenants whose secrets are no more, and who have no new ones yet
         self.tally = Tally()
         self.open = 0  # operations and loads that are not over
         self.quiet = trio.Event()
@@ -208,7 +210,7 @@
         outcome, value, away = read_answer(reply)
         setattr(self.tally, outcome, getattr(self.tally, outcome) + 1)
         recorder.put(OpEnded(recorder.now(), party.name, ident, outcome, value, away))
-        if reply is None:
+        if reply is None or reply.startswith(UNKNOWN):  # with a new secret, a new connection
             shut(line.raw)
         else:
             line.idle_since, line.last = trio.current_time(), ident
@@ -270,6 +272,8 @@
 
     async def _open(self, party: Party, router: int) -> Line | None:
         """A new one, let in. None: the router is gone, or does not let it in now."""
+        if party.tenant in self.told_to_wait:
+            return None
         raw = tcp(self.doors[router])
         line, good = Line(raw, Parser(1 << 20), 0.0), False
         try:
