--- a/gaugehinge/rehearsal/allchecks.py
+++ b/gaugehinge/rehearsal/allchecks.py
@@ -121,9 +121,10 @@
     return [Break(LOWERED, store, (store, *over.by), told.began, over.at, why, (over,))]
 
 
-def alone(reading: Reading, bound: float, routers: Sequence[str]) -> list[Break]:
-    """A router whose link to the keeper was cut for longer than `bound` seconds serves no tenant: no leg of
-    an operation that began after that."""
+def alone_times(
+    reading: Reading, bound: float, routers: Sequence[str]
+) -> dict[str, list[tuple[float, float]]]:
+    """By router, the times in which it has to know that it is without the keeper for over `bound` seconds."""
     cuts: dict[str, float] = {}
     times: dict[str, list[tuple[float, float]]] = defaultdict(list)
     for event in reading:
@@ -135,7 +136,13 @@
             times[event.one].append((since + bound + BOUND_SLACK, event.at))
     for router, since in cuts.items():
         times[router].append((since + bound + BOUND_SLACK, math.inf))
-    found = []
+    return {router: [time for time in found if time[0] < time[1]] for router, found in times.items()}
+
+
+def alone(reading: Reading, bound: float, routers: Sequence[str]) -> list[Break]:
+    """A router whose link to the keeper was cut for longer than `bound` seconds serves no tenant: no leg of
+    an operation that began after that."""
+    times, found = alone_times(reading, bound, routers), []
     for leg in reading.legs:
         op = reading.op_of(leg.ident)
         for since, until in times.get(op.router, ()) if op else ():
@@ -189,10 +196,17 @@
     return found
 
 
-def looked(history: Sequence[AnyEvent]) -> dict[str, float]:
-    """How much there was to look at: statements by kind, and seconds of them."""
+def looked(history: Sequence[AnyEvent], bound: float, routers: Sequence[str]) -> dict[str, float]:
+    """How much there was to look at: statements by kind, and seconds of them; operations at routers that were
+    without the keeper for too long."""
     reading = Reading.of(history)
     found: dict[str, float] = defaultdict(float)
+    for router, times in alone_times(reading, bound, routers).items():
+        for since, until in times:
+            found["alone.s"] += min(until, reading.over) - since
+            found["alone.asked"] += sum(
+                op.router == router and since < op.at < until for op in reading.ops.values()
+            )
     for told in told_times(reading):
         found[f"{told.kind}.times"] += 1
         found[f"{told.kind}.s"] += min(told.ended, reading.over) - told.began
--- a/gaugehinge/rehearsal/allplay.py
+++ b/gaugehinge/rehearsal/allplay.py
@@ -533,9 +533,9 @@
         show.told["no_router"] = float(all_.crowd.tally.no_router)  # tries that found none to be sent to
     history = list(read_history(folder))
     told = {**show.told, **_figures(history, began, lost, bounds.limits["origin"]), **_moved(moves)}
-    told |= allchecks.looked(history)
-    outcome = judged(history, bounds, told)
     routers = [f"router-{number}" for number in range(cast.routers)]
+    told |= allchecks.looked(history, ALONE, routers)
+    outcome = judged(history, bounds, told)
     more = [*allchecks.further(history, ALONE, routers), *drainsplay.twice(orders), *show.breaks]
     found = outcome.breaks
     if case == "half old":
--- a/tests/test_all_checks.py
+++ b/tests/test_all_checks.py
@@ -90,7 +90,8 @@
 
 def test_a_statement_that_is_never_taken_back_holds_to_the_end_and_looks_are_counted():
     history = [*GUEST, op(11.0, "x", tenant="dora#1"), op(90.0, "y")]
-    assert looked(history) == {"gone.times": 1.0, "gone.s": 80.0, "gone.asked": 1.0}
+    assert looked(history, BOUND, ROUTERS) == {"gone.times": 1.0, "gone.s": 80.0, "gone.asked": 1.0}
+    assert looked([*ALONE, op(16.0, "x")], BOUND, ROUTERS) == {"alone.s": 15.0, "alone.asked": 1.0}
 
 
 def test_an_effect_that_a_build_without_recovery_ran_again_is_told_apart_from_others():
--- a/tests/test_all_play.py
+++ b/tests/test_all_play.py
@@ -5,7 +5,7 @@
 
 from gaugehinge.rehearsal.allplay import SMALL, play
 
-CASES = {1: "plain", 2: "keeper older"}
+CASES = {1: "plain", 2: "keeper older", 4: "disk lost"}
 
 
 def test_a_roll_moves_faults_and_a_power_loss_at_once_break_no_rule(tmp_path):
