A server started no later than the list told of it, whatever a router's clock says

Cause: starts of servers by the list are compared with the router's own clock, corrected by the middle of the peers' clocks. Change: a start counts as no later than the moment at which it was told. The test fails without it.

--- a/gaugehinge/recovery/driver.py
+++ b/gaugehinge/recovery/driver.py
@@ -300,7 +300,8 @@
                 self.starts.pop(target.uid, None)
             elif seen is None or seen[0] != told:
                 lived = self.mind.verdict.lived or in_service
-                believed = trust.believed_start(told, known.get(target.uid), self.began, lived, off)
+                before, now = known.get(target.uid), self.clock()
+                believed = trust.believed_start(told, before, self.began, lived, off, now)
                 seen = self.starts[target.uid] = (told, believed)
             if seen is not None:
                 target = target._replace(listing=target.listing._replace(started=seen[1]))
--- a/gaugehinge/recovery/trust.py
+++ b/gaugehinge/recovery/trust.py
@@ -100,19 +100,22 @@
     return off if abs(off) > CLOCK_OFF else 0.0
 
 
-def believed_start(told: float, before: float | None, began: float, lived: bool, off: float) -> float:
+def believed_start(
+    told: float, before: float | None, began: float, lived: bool, off: float, now: float
+) -> float:
     """When a server started, by the own clock, in seconds; 0: long ago.
 
     `told`: by the list; `before`: what the snapshot's list told of it, None: nothing; `began`: when this
-    router started; `lived`: whether the fleet lived on; `off`: as `clock_off`. A server whose start is not
-    the one that was known began anew: after a loss that was not long before this router did, whatever the
-    clocks say.
+    router started; `lived`: whether the fleet lived on; `off`: as `clock_off`; `now`: when the list told it. A
+    server whose start is not the one that was known began anew: after a loss that was not long before this
+    router did, whatever the clocks say.
     """
     if told <= 0.0:
         return 0.0
-    if not lived and told != before:
-        return max(told - off, began)
-    return told - off
+    # None starts later than it is told of. Where the routers' clocks go an hour behind the servers', most of
+    # them too, every server would stay cold for that hour, and reads be bounced.
+    started = min(told - off, now)
+    return max(started, began) if not lived and told != before else started
 
 
 class Standing(Enum):
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -125,9 +125,12 @@
         own_began = began + off
         assert trust.clock_off(began + off, [began, began, began]) == -off
         # No peer has spoken yet, and the list tells a start that is not the one that was known.
-        believed = trust.believed_start(started, 4.0, own_began, False, 0.0)
+        believed = trust.believed_start(started, 4.0, own_began, False, 0.0, own_began)
         assert own_began - believed <= 0.0  # it counts as just started, whatever the clock says
-        assert trust.believed_start(started, 4.0, own_began, True, -off) == started + off
+        assert trust.believed_start(started, 4.0, own_began, True, -off, own_began) == started + off
+    # Most of the fleet goes an hour behind the servers' clock: a start is no later than it was told of.
+    for lived in (False, True):
+        assert trust.believed_start(began + 3600.0, 4.0, began, lived, 0.0, began + 2.0) == began + 2.0
     naive = started  # without the rule: an hour of age, and a budget of a warm server
     assert began + 3600.0 - naive > 3600.0
     assert trust.clock_off(0.0, [3600.0]) == 0.0  # one other says nothing of who is right
