--- a/gaugehinge/recovery/trust.py
+++ b/gaugehinge/recovery/trust.py
@@ -106,8 +106,8 @@
     """When a server started, by the own clock, in seconds; 0: long ago.
 
     `told`: by the list; `before`: what the snapshot's list told of it, None: nothing; `began`: when this
-    router started; `lived`: whether the fleet lived on; `off`: as `clock_off`; `now`: when the list told it. A
-    server whose start is not the one that was known began anew: after a loss that was not long before this
+    router started; `lived`: whether the fleet lived on; `off`: as `clock_off`; `now`: when the list told it.
+    A server whose start is not the one that was known began anew: after a loss that was not long before this
     router did, whatever the clocks say.
     """
     if told <= 0.0:
