--- a/gaugehinge/rehearsal/allplay.py
+++ b/gaugehinge/rehearsal/allplay.py
@@ -349,7 +349,7 @@
         """The keeper's disk is lost: an empty one, and what an operator does."""
         all_ = self.all
         allcases.for_new_disk(all_.folder, self.draw.choice((0, 1000)))
-        all_.heal()
+        await self.mend()
         all_.kill("keeper")
         await all_.over("keeper")
         await trio.sleep(self.draw.uniform(0.5, 3.0))
@@ -360,14 +360,18 @@
         for tenant in self.tenants:
             tenant.unsure |= set(self.names)
 
+    async def mend(self) -> None:
+        """What the faults before left behind, where nothing else does."""
+        self.all.heal()
+        for name in self.all.children:
+            self.all.go_on(name)
+        await self.start([name for name, child in self.all.children.items() if not child.runs])
+
     async def part(self) -> None:
         """Two zones cut apart for longer than all leases, with half of them from the keeper too; a router of
         each starts anew meanwhile. All lived on."""
         all_ = self.all
-        all_.heal()
-        for name in all_.children:
-            all_.go_on(name)
-        await self.start([name for name, child in all_.children.items() if not child.runs])
+        await self.mend()
         zones = self.draw.sample(self.cast.zones, 2)
         allcases.part_zones(all_, zones, self.draw.random() < 0.5)
         for zone in zones:
