--- a/gaugehinge/admin/keep.py
+++ b/gaugehinge/admin/keep.py
@@ -125,6 +125,10 @@
     keep_alive: Annotated[Seconds, Meta(description="a connection idle for so long ends")] = default(
         Seconds(30.0)
     )
+    numbers_above: Annotated[
+        int,
+        Meta(description="new tenants' numbers are above; see docs/on-call.md", ge=0, le=1 << 40),
+    ] = 0
     leases: LeasesEntry = default(LeasesEntry())
     placement: KeepPlacement = default(KeepPlacement())
     drains: KeepDrains = default(KeepDrains())
@@ -190,6 +194,7 @@
     keeper = StoreKeeper(told.store)
     try:
         administration = Administration(keeper, hasher or Hasher(), Attempts(1, keeper.clock()))
+        administration.numbers_above = told.numbers_above
         secret = await administration.first_operator()
         await administration.ready()
         if told.leases.on:
@@ -222,6 +227,9 @@
                 logger.info("keeper of {} at {}: revision {}", told.store, told.listen, keeper.rev)
                 await serve(Api(administration).app(), config, shutdown_trigger=end.wait)
                 nursery.cancel_scope.cancel()
-        await keeper.snapshot()
+        try:
+            await keeper.snapshot()
+        except (OSError, Full) as bad:  # an end as ordered: the store itself is whole
+            logger.error("no snapshot: {}", bad)
     finally:
         keeper.close()
--- a/gaugehinge/rehearsal/crowd.py
+++ b/gaugehinge/rehearsal/crowd.py
@@ -20,6 +20,7 @@
 MEMORY_ROOM = 0.5  # seconds before the end of a mark's memory in which no repeat is begun
 REST_MOST = 60.0  # seconds that a client rests at most
 MOST_CROSSED = 3  # times in a row that an operation is sent once more
+UNKNOWN = b"-ERR authentication required"
 RETRY = 0.2  # seconds, where a bounce tells no time; up to twice that
 
 
@@ -98,14 +99,18 @@
 
     def __init__(
         self, nursery: trio.Nursery, seed: int, doors: list[tuple[str, int]], secrets: dict[str, str],
-        recorder: Callable[[str], Recorder], source: str,
+        recorder: Callable[[str], Recorder], source: str, head: str = "client",
     ) -> None:
-        """`doors`: where routers are found; `recorder` makes a party's history; `source`: their address."""
+        """`doors`: where routers are found; `recorder` makes a party's history; `source`: their address;
+        `head`: before the numbers in their names. A tenant's name may have `#` and a number behind it, by
+        which histories tell its incarnations apart."""
+        self.head = head
         self.nursery = nursery
         self.draw = random.Random(f"{seed} crowd")
         self.doors, self.secrets, self.source = doors, secrets, source
         self.recorder = recorder
         self.parties: list[Party] = []
+        self.told_to_wait: set[str] = set()  # tenants whose secrets are no more, and who have no new ones yet
         self.tally = Tally()
         self.open = 0  # operations and loads that are not over
         self.quiet = trio.Event()
@@ -124,7 +129,7 @@
         tenants = list(self.secrets)
         while len(self.parties) < count:
             number = len(self.parties)
-            name = f"client-{number}"
+            name = f"{self.head}-{number}"
             home = number // len(tenants) % len(self.doors)
             self.parties.append(Party(name, tenants[number % len(tenants)], home, self.recorder(name)))
         self._begin()
@@ -249,7 +254,7 @@
             outcome = "crossed"
         setattr(self.tally, outcome, getattr(self.tally, outcome) + 1)
         recorder.put(OpEnded(recorder.now(), party.name, ident, outcome, value, away))
-        if reply is None:
+        if reply is None or reply.startswith(UNKNOWN):  # with a new secret, a new connection
             shut(line.raw)
         else:
             line.idle_since, line.last = trio.current_time(), ident
@@ -383,6 +388,8 @@
 
     async def _open(self, party: Party, router: int) -> Line | None:
         """A new one, let in. None: the router is gone, or does not let it in now."""
+        if party.tenant in self.told_to_wait:
+            return None
         raw = tcp(self.doors[router])
         line, good = Line(raw, Parser(1 << 20), 0.0), False
         try:
@@ -392,7 +399,8 @@
                 if not self.secrets[party.tenant]:  # a platform's router knows none
                     good = True
                     return line
-                reply = await self._ask(line, ["AUTH", party.tenant, self.secrets[party.tenant]])
+                name = party.tenant.partition("#")[0]
+                reply = await self._ask(line, ["AUTH", name, self.secrets[party.tenant]])
                 good = reply == b"+OK\r\n"
         except OSError:
             return None
