A router that stood still ends no connection for the time in which it did

Change: after two looks that lie further apart than they should, all count as in use from then on. Measured: a test that fails without it.

--- a/gaugehinge/net/clients.py
+++ b/gaugehinge/net/clients.py
@@ -168,6 +168,7 @@
         self.reader = door.reader(self) if door is not None else None
         if self.reader is not None:
             nursery.start_soon(self.reader.run)
+        self.swept_at = self.awake_since = self.clock()
         self._sweep()
         self.commands: dict[bytes, Callable[[Client, Message], bytes | None]] = {
             b"PING": self._ping,
@@ -259,6 +260,11 @@
         Each holds a descriptor for as long as its client likes, and none of them has been taken.
         """
         now = self.clock()
+        # While the loop stood still nobody was idle: what came then is not read yet, or was held up with it.
+        # By the clock alone, one that had stood for 2 s ended all connections, with commands on their way.
+        if now > self.swept_at + 2 * SWEEP_EVERY:
+            self.awake_since = now
+        self.swept_at = now
         leaving = self.course.phase is Phase.LEAVING  # then clients get no new one for one that ends
         for client in self.connections:
             if client.paused and hung_up(client.raw):
@@ -266,10 +272,12 @@
             if client.tickets or client.last:
                 continue
             if len(client.parser):
-                if (client.began if client.used else client.came) < now - WHOLE_TIME:
+                if max(client.began if client.used else client.came, self.awake_since) < now - WHOLE_TIME:
                     client.last = True
                     self.put(client, b"-ERR protocol: command not whole in time\r\n")
-            elif client.quiet_since < now - IDLE_TIME and not (leaving and client.used):
+            elif leaving and client.used:
+                continue
+            elif max(client.quiet_since, self.awake_since) < now - IDLE_TIME:
                 self._hang_up(client)
         self.dispatch.deadlines.at(now + SWEEP_EVERY, self._sweep)
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -566,6 +566,26 @@
     run(scene)
 
 
+def test_a_router_that_stood_still_ends_no_connection_for_that(tmp_path):
+    async def scene():
+        async with fleet(tmp_path) as made:
+            door = made.service.clients
+            half, idle = await made.client(), await made.client()
+            await half.stream.send_all(b"*4\r\n$6\r\nKV.GET\r\n$2\r\n")
+            while len(door.connections) < 2 or not any(len(each.parser) for each in door.connections):
+                await trio.sleep(0.01)
+            right = door.clock
+            door.clock = lambda: right() + 60.0  # no step of the loop in between
+            door._sweep()
+            assert len(door.connections) == 2 and not any(each.last for each in door.connections)
+            assert await idle.ask("PING") == b"+PONG\r\n"
+            words = [b"i7", b"c=read,t=acme,d=4000"]
+            await half.stream.send_all(b"k1\r\n" + b"".join(map(bulk, words)))
+            assert await half.answer() == b"$5\r\nof k1\r\n"
+
+    run(scene)
+
+
 def test_more_clients_than_places_are_told_busy_and_none_is_lost(tmp_path, monkeypatch):
     for name in ("FIRST_WORD", "IDLE_TIME"):  # a busy machine takes longer to connect them all
         monkeypatch.setattr(clients, name, 60.0)
