The pool tells of lines that servers ended; recovery hears that in place of standing before it

Cause: recovery put its own method before Pool._lose. Change: Pool.lost, asked once a line, None where nobody listens. Measured: tests of recovery and of the net, passed.

--- a/gaugehinge/net/pool.py
+++ b/gaugehinge/net/pool.py
@@ -197,6 +197,7 @@
         self.full = False
         self.guard: Callable[[Leg], bool] | None = None  # asked before each byte of a leg, where one stands
         self.warden: Warden | None = None
+        self.lost: Callable[[Line, Travel | None], None] | None = None  # told of lines that servers ended
         self._sweep()
 
     # -- the list
@@ -420,12 +421,15 @@
         """
         if line in line.place.idle:
             line.place.idle.remove(line)
+        there = not (line.closed or spoilt)
         self._close(line)
         travel, line.travel = line.travel, None
         if travel is not None:
             travel.line = None
             may_have_run = Outcome.SPOILT if spoilt else Outcome.BROKEN
             self._end(travel, may_have_run if line.written else Outcome.NOT_CONNECTED)
+        if there and self.lost is not None:
+            self.lost(line, travel)
 
     def _rest(self, line: Line) -> None:
         line.travel = None
--- a/gaugehinge/recovery/driver.py
+++ b/gaugehinge/recovery/driver.py
@@ -24,7 +24,7 @@
 from ..net.bulletin import PRESENCES, Bulletin, Target
 from ..net.dispatch import FAILED, busy
 from ..net.phase import Phase
-from ..net.pool import Cargo, Line
+from ..net.pool import Cargo, Line, Travel
 from ..net.service import Service
 from ..tenancy.feed import Feed
 from ..terms import Effect, Listing, Operation, Presence
@@ -99,7 +99,6 @@
         self.failed = False
         self.lives = Lives()
         self.lines_at = self.began
-        self.lose_below = service.pool._lose
         self.dirty = trio.Event()
         self.saving = trio.Lock()  # two at a time would write into one file
         self.parting = False  # whether operations pass by `_submit`
@@ -155,7 +154,7 @@
         self.tells_from = places.messages
         dispatch.hear_list, dispatch.hear_peer = self._hear_list, self._hear_peer
         dispatch.follow = self._follow
-        self.service.pool._lose = self._lose_line
+        self.service.pool.lost = self._line_lost
         self.service.farewells.append(self._farewell)
         self._part(True)
         if self.follower is not None:
@@ -337,15 +336,13 @@
 
     # -- lines to servers
 
-    def _lose_line(self, line: Line, spoilt: bool) -> None:
-        """A line has ended, of itself or because this router closed it."""
-        place, travel = line.place, line.travel
+    def _line_lost(self, line: Line, travel: Travel | None) -> None:
+        """A line was ended by its server, or did not come up."""
+        place = line.place
         failed = travel is not None and not (line.written or line.idle_since)
-        ended_there = not (line.closed or spoilt)
-        self.lose_below(line, spoilt)
         pool, now = self.service.pool, self.clock()
         leaving = self.service.course.phase in (Phase.CLOSING, Phase.ENDED)  # then lines end with this router
-        if leaving or not ended_there or pool.places.get(place.ident) is not place:
+        if leaving or pool.places.get(place.ident) is not place:
             return
         standing = bool(place.idle) or any(
             each.line is not None and each.line.place is place and (each.line.written or each.line.idle_since)
