--- a/gaugehinge/drains/grants.py
+++ b/gaugehinge/drains/grants.py
@@ -179,6 +179,7 @@
     fresh: set[str] = field(default_factory=set)  # heard since the last plan
     arranged: float = float("-inf")
     witnessed: int = 0  # admissions that are on record beside the store, too
+    wanted: Figures = field(default_factory=dict)  # floors that the file states and that do not fit yet
     sure: bool = False  # the store has all that the run before this one told, which raised by right itself
 
     @property
@@ -198,6 +199,23 @@
         whatever age, raises nothing."""
         return (self.lease + self.closing) * (1.0 - DRIFT)
 
+    def begin_with(self, slots: Iterable[Slot]) -> None:
+        """Nodes have floors of before: higher ones are told once they fit beside all that is held, or a node
+        that is cut off would fall to more than it was charged."""
+        self.wanted = dict(self.floors)
+        self.floors = {
+            store: min([floor, *(figure(slot.floors, store) for slot in slots)])
+            for store, floor in self.wanted.items()
+        }
+
+    def _raise_floors(self, table: Mapping[str, Slot], limits: Mapping[str, int]) -> None:
+        before, self.floors = self.floors, self.wanted
+        raised = [
+            msgspec.structs.replace(slot, floors=_most(slot.floors, self.wanted)) for slot in table.values()
+        ]
+        if any(self.spent(raised, store) > most for store, most in limits.items()):
+            self.floors = before
+
     def raises(self, now: float) -> bool:
         """Whether what is free by the store may be given: what it charges is all that nodes may hold."""
         return self.sure or now >= self.settled_at
@@ -279,6 +297,8 @@
         """Slots to be changed, all in one transaction. `leaving`: nodes told to end, which get nothing more;
         `worst`: connections that tenants would use in all by their allowances."""
         table = dict(slots)
+        if self.wanted and self.floors != self.wanted and self.raises(now):
+            self._raise_floors(table, limits)
         for node, word in self.words.items():
             self._learn(table, node, word, now)
         self.fresh.clear()
@@ -521,7 +541,9 @@
             return None  # the next plan takes its number over
         self.given[slot.node] = Given(now, self.lease, slot.number)
         return Grant(
-            slot.number, slot.mark, slot.values, dict(self.floors), self.lease, not slot.remains
+            slot.number, slot.mark, slot.values,
+            {store: min(floor, figure(slot.floors, store)) for store, floor in self.floors.items()},
+            self.lease, not slot.remains,
         )
 
 
--- a/gaugehinge/drains/keeper.py
+++ b/gaugehinge/drains/keeper.py
@@ -235,8 +235,10 @@
                 max(ground.longest, self.grants.lease), max(ground.closing, float(told.closing)),
                 ground.admissions, doubt,
             )
+            slots = [slot for _, slot in self.slots(store).values()]
             with self.lock:
                 self.grants.ground = ground
+                self.grants.begin_with(slots)
                 # Killed on this machine and back on the file that it told by: what is held is in there.
                 self.grants.sure = not doubt and self.last_word.of(
                     self.administration.life, store.mark, sleepless(), self.grants.unraised
@@ -251,6 +253,9 @@
         await keeper.apply_planned(begin, "drains")
         await keeper.call(self._attest)
         ground = self.grants.ground
+        if self.grants.floors != self.grants.wanted:
+            told = self.grants.floors, self.grants.wanted
+            logger.warning("drains: floors stay at {} until {} fit: lower the limits for a while", *told)
         if ground.doubt:
             logger.warning("drains: nobody new is admitted: {}", ground.doubt)
         with self.lock:
--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -217,6 +217,31 @@
     assert desk.grants.reached(desk.slots.values(), ORIGIN, 6, desk.now)
 
 
+def test_higher_floors_of_the_file_are_told_once_they_fit_beside_what_is_held():
+    desk = Desk(most_nodes=2)
+    for _ in range(4):
+        desk.say("a", need=11)
+        desk.say("b")
+    assert desk.slots["a"].values[ORIGIN] == 11
+
+    def anew():
+        made = Grants(-1e9, 10.0, 5.0, 2, {ORIGIN: 3, SERVERS: 1}, 0.0, "k2", "life", desk.grants.ground)
+        made.witnessed = 2
+        made.begin_with(desk.slots.values())
+        desk.grants = made
+
+    anew()
+    desk.say("b")
+    assert desk.grants.floors[ORIGIN] == 1 and desk.slots["b"].floors[ORIGIN] == 1
+    assert desk.grants.spent(desk.slots.values(), ORIGIN) <= LIMITS[ORIGIN]
+    for _ in range(6):
+        desk.now += 11.0
+        desk.say("a", need=1)
+        desk.say("b", need=1)
+    assert desk.slots["b"].floors[ORIGIN] == 3 == desk.grants.floors[ORIGIN]
+    assert desk.grants.spent(desk.slots.values(), ORIGIN) <= LIMITS[ORIGIN]
+
+
 def test_tenants_worst_case_counts_beside_what_is_measured():
     desk = Desk()
     desk.say("a", need=1)
