Who is started in the instant of its kill has no connections of the run before

Cause: relays hear of the old process's end only when they come to run; a client wrote before that. Change: Company._start resets what leads to the party, where no silent link keeps that from being told. Measured: a test that fails without it.

--- a/gaugehinge/emulator/link.py
+++ b/gaugehinge/emulator/link.py
@@ -425,6 +425,15 @@
             if name in sides and isinstance(link, TcpLink):
                 link.forget()
 
+    def let_go(self, name: str) -> None:
+        """Connections to a party whose process has ended are reset at once, where no fault of the link keeps
+        that from being told. Started anew in the same instant, it was written to on connections that the run
+        before had, before their relays came to run: an operation that nobody took counted as unanswered."""
+        for link in self.all.values():
+            held = link.holds(True) or link.holds(False)
+            if link.other == name and isinstance(link, TcpLink) and not held:
+                link.forget()
+
     def close(self) -> None:
         """No link any more."""
         for link in self.all.values():
--- a/gaugehinge/rehearsal/company.py
+++ b/gaugehinge/rehearsal/company.py
@@ -315,6 +315,8 @@
         child.prepare(files)
         if name in self.dark:
             self._light(name)
+        elif child.starts:
+            self.links.let_go(name)
         if name == "discovery":
             self._write_list(child.starts)
         if name in self.listed and child.starts:
--- a/tests/test_company.py
+++ b/tests/test_company.py
@@ -144,6 +144,20 @@
     assert {e.status for e in changes if e.path == "/v1/tenants" and e.method == "POST"} == {-1, 201}
 
 
+def test_who_starts_in_the_instant_of_its_kill_has_no_connections_of_before(tmp_path):
+    async def scene(all_):
+        all_.load(rate=80.0, lasts=0.5)
+        await all_.load_over()
+        lines = [line.raw for party in all_.crowd.parties for line in party.lines.get(0, ())]
+        assert any(map(silent, lines))
+        all_.kill("router-0")
+        all_.start("router-0")
+        assert not any(map(silent, lines)), "a client would take one for a line to the new run"
+        await all_.up("router-0")
+
+    play(tmp_path, scene, Plan(routers=1, servers=1, zones=("a",)))
+
+
 def test_a_lost_machine_keeps_its_connections_and_what_is_too_many_is_counted(tmp_path):
     """What a killed router had open stands on at the origin for as long as nobody tells, and is counted."""
     plan = Plan(routers=2, servers=2, zones=("a", "b"), server_bears=1)
