An attempt ends by its operation's deadline, whatever held its send up

Cause: ConnectionPool.send counted an attempt's time from the send. A stall of the loop between the decision and the send put its end behind the look for overdue operations, 5 ms behind the deadline.

Change: the pool, which alone ends attempts, bounds an attempt's end by its operation's deadline, which timers of equal lateness reach before the look for overdue ones. One whose time is over as it would be written is not begun. Tests that give a pool attempts of a router with a clock of its own now set their operations' deadline by the pool's clock.

--- a/gaugehinge/net/connection_pool.py
+++ b/gaugehinge/net/connection_pool.py
@@ -121,8 +121,12 @@
     # -- attempts
 
     def send(self, attempt: Attempt, payload: RequestPayload, timeout: float, codec: Codec) -> None:
-        """Start an attempt that may take `timeout` seconds. It never ends before this returns."""
-        pending = PendingAttempt(attempt, payload, codec, self.clock() + timeout)
+        """Start an attempt that may take `timeout` seconds. It never ends before this returns.
+
+        It ends by its operation's deadline: the decision for it may lie some time back.
+        """
+        deadline = min(self.clock() + timeout, attempt.operation.deadline)
+        pending = PendingAttempt(attempt, payload, codec, deadline)
         self.pending[attempt] = pending
         pending.timer = self.timers.call_at(pending.deadline, self._on_timeout, pending)
         endpoint = self.endpoints.get(attempt.endpoint.ident)
@@ -199,13 +203,15 @@
     def _may_start(self, connection: Connection, pending: PendingAttempt) -> bool:
         """Whether an attempt may still begin on a connection that has come up.
 
-        Meanwhile its operation may have finished, and the endpoint list changed. A draining server must not
-        get the first byte, and what listens at a server's former address may be somebody else's. Its client
-        may have gone, with that still unread: nothing may begin for a client that left.
+        Meanwhile its operation may have finished, its time passed, and the endpoint list changed. A draining
+        server must not get the first byte, and what listens at a server's former address may be somebody
+        else's. Its client may have gone, with that still unread: nothing may begin for a client that left.
         """
         attempt, endpoint = pending.attempt, connection.endpoint
         if attempt.operation.finished or attempt.endpoint.state is not EndpointState.UP:
             return False
+        if self.clock() >= pending.deadline:
+            return False
         if self.endpoints.get(endpoint.ident) is not endpoint:
             return False
         return self._may_send(attempt) and pending.payload.client_is_waiting()
@@ -243,12 +249,12 @@
             logger.exception("failed to write to server {}", connection.endpoint.uid)
 
     def _end_soon(self, pending: PendingAttempt, outcome: Outcome) -> None:
-        """End an attempt in the next turn of the timers: the caller that started or cancelled it is not done.
+        """End an attempt by a timer, by its deadline: the caller that started or cancelled it is not done.
 
         Called from within `send` or `cancel`, `on_attempt_ended` would find the caller's state half changed.
         """
         self.timers.cancel(pending.timer)
-        self.timers.call_at(self.clock(), self._end, pending, outcome)
+        self.timers.call_at(min(self.clock(), pending.deadline), self._end, pending, outcome)
 
     def _end(
         self,
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -89,6 +89,12 @@
         )
         return operation, self.router.route(operation, self.now)
 
+    def ask_for_pool(self, clock, key="k", traffic=READ) -> tuple[Operation, Decision]:
+        """One whose attempt is given to a pool: its deadline is by the pool's clock."""
+        operation, decision = self.ask(key, traffic)
+        operation.deadline = clock() + 60.0
+        return operation, decision
+
     def end(self, attempt, outcome: Outcome, elapsed=0.02):
         self.now += elapsed
         return self.router.on_attempt_finished(
--- a/tests/test_crossings_pool.py
+++ b/tests/test_crossings_pool.py
@@ -29,7 +29,7 @@
             [listener] = await nursery.start(partial(trio.serve_tcp, cache.serve, 0, host="127.0.0.1"))
             timers = TimerQueue(Clock())  # held: nothing of it falls due until it is run
             made = ConnectionPool(nursery, timers, 5, 1.0, 10.0, lambda *told: ended.append(told))
-            (_, first), (_, second) = bench.ask("a"), bench.ask("b")
+            (_, first), (_, second) = (bench.ask_for_pool(timers.clock, key) for key in "ab")
             server = first.attempt.endpoint.ident
             made.endpoints[server] = ServerPool(server, "s", listener.socket.getsockname(), 0.0)
             payload = partial(RequestPayload, b"i", b"k", (b"d=", b""), b"d=1", COMMAND, b"", None)
--- a/tests/test_crossings_retries.py
+++ b/tests/test_crossings_retries.py
@@ -347,7 +347,7 @@
                 made = ConnectionPool(nursery, timers, most, 1.0, 10.0, lambda *told: ended.append(told))
 
                 def send(key):
-                    _operation, answer = bench.ask(key)
+                    _operation, answer = bench.ask_for_pool(timers.clock, key)
                     ident = answer.attempt.endpoint.ident
                     if ident not in made.endpoints:
                         made.endpoints[ident] = ServerPool(ident, "s", listener.socket.getsockname(), 0.0)
--- a/tests/test_drains_connections.py
+++ b/tests/test_drains_connections.py
@@ -88,7 +88,9 @@
         server = SimpleNamespace(ident=1, origin=False, state=EndpointState.UP)
 
         def send(time_out=5.0):
-            attempt = Attempt(SimpleNamespace(finished=False, retry_deadline=inf), server, 0, clock())
+            attempt = Attempt(
+                SimpleNamespace(finished=False, deadline=inf, retry_deadline=inf), server, 0, clock()
+            )
             payload = RequestPayload(b"i", b"k", (b"d=", b""), b"", b"*4\r\n$6\r\nKV.GET\r\n", b"", None)
             pool.send(attempt, payload, time_out, RespCodec())
             return attempt
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -382,7 +382,7 @@
             timers = TimerQueue(Clock())
             nursery.start_soon(timers.run)
             made = ConnectionPool(nursery, timers, 5, 1.0, 10.0, lambda *told: ended.append(told))
-            operation, answer = bench.ask()
+            operation, answer = bench.ask_for_pool(timers.clock)
             address, ident = listener.socket.getsockname(), answer.attempt.endpoint.ident
             made.endpoints[ident] = ServerPool(ident, "s", address, 0.0)
             payload = RequestPayload(b"i", b"k", (b"d=", b""), b"d=1", b"", b"", None)
@@ -412,7 +412,7 @@
             timers = TimerQueue(Clock())
             nursery.start_soon(timers.run)
             made = ConnectionPool(nursery, timers, 5, 1.0, 10.0, lambda *told: ended.append(told))
-            operation, answer = bench.ask(traffic=MARKED)
+            operation, answer = bench.ask_for_pool(timers.clock, traffic=MARKED)
             late = connection_pool.RETRY_DEADLINE_MARGIN / 2
             operation.retry_deadline = timers.clock() + (0.3 if slow == "server" else late)
             server = answer.attempt.endpoint.ident
@@ -438,7 +438,7 @@
             timers = TimerQueue(Clock())
             nursery.start_soon(timers.run)
             made = ConnectionPool(nursery, timers, 5, 1.0, 10.0, lambda *told: ended.append(told))
-            _, answer = bench.ask()
+            _, answer = bench.ask_for_pool(timers.clock)
             attempt: Attempt = answer.attempt
             ident = attempt.endpoint.ident
             made.endpoints[ident] = ServerPool(ident, "s", ("127.0.0.1", free_port()), 0.0)
--- a/tests/test_own_lag.py
+++ b/tests/test_own_lag.py
@@ -35,8 +35,8 @@
                 )
 
                 def send(listener, timeout: float) -> None:
-                    operation, decision = bench.ask()
-                    operation.deadline = operation.retry_deadline = timers.clock() + 60.0
+                    operation, decision = bench.ask_for_pool(timers.clock)
+                    operation.retry_deadline = operation.deadline
                     server = decision.attempt.endpoint.ident
                     if server not in pool.endpoints:
                         pool.endpoints[server] = ServerPool(server, "s", listener.socket.getsockname(), 0.0)
@@ -179,6 +179,37 @@
     assert not logged
 
 
+@pytest.mark.parametrize("held_up", [0.02, 0.05, 0.4])
+@pytest.mark.parametrize("server", ["cache", "origin"])
+@pytest.mark.parametrize("labels", ["c=read,t=acme,d=300", "c=mark,t=acme,d=300,k=m1", "c=once,t=acme,d=300"])
+def test_a_stall_between_decision_and_send_leaves_no_operation_overdue(
+    tmp_path, monkeypatch, labels, server, held_up
+):
+    """Nothing answers: the attempt's end is what its operation is answered by."""
+    send = ConnectionPool.send
+
+    def send_late(pool, attempt, payload, timeout, codec):
+        stall(held_up)
+        send(pool, attempt, payload, timeout, codec)
+
+    async def scene():
+        caches = [Cache("stall" if server == "cache" else "miss")]
+        async with fleet(tmp_path, caches, lambda *call: "stall", settings=THROUGH) as made:
+            client = await made.client()
+            words = ("KV.GET", "k1") if "read" in labels else ("KV.SET", "k1")
+            value = () if "read" in labels else ("new",)
+            for number in range(3):
+                await client.ask(*words, f"i{number}", labels, *value)
+            assert held_up < 0.3 or not (made.caches[0].commands or made.origin.seen)
+
+    logged = []
+    sink = logger.add(logged.append, level="ERROR")
+    monkeypatch.setattr(ConnectionPool, "send", send_late)
+    trio.run(scene)
+    logger.remove(sink)
+    assert not logged
+
+
 @pytest.mark.parametrize("rest", [REPLY, REPLY[:-4]], ids=["whole", "a part"])
 def test_a_reply_that_stands_unread_is_taken_at_the_deadline_though_its_task_gets_no_turn(monkeypatch, rest):
     sent, turn = trio.Event(), trio.Event()
