All that stood in the backlog counts from when it may have come first, not from its last bytes

Cause: the system tells when a connection's last bytes came, and the time of all that stood there was counted from that.

Change: one segment has an exact time. Several count from the last look at the backlog at which the connection had not come yet; a listener tells how many wait, and they leave in the order in which they came. Looks are made while places are taken, so an installation at rest asks the system once more for an accepted connection's bytes as before.

--- a/gaugehinge/net/connection_acceptor.py
+++ b/gaugehinge/net/connection_acceptor.py
@@ -11,11 +11,12 @@
 from loguru import logger
 
 from .admission_control import AdmissionControl
+from .backlog_times import BacklogTimes
 from .client_connection import ClientConnection
 from .client_limits import ClientLimits
 from .connection_registry import ConnectionRegistry
 from .idle_reaper import IdleReaper
-from .sockets import unread_for
+from .sockets import backlog_length, unread_input
 
 MIN_BACKLOG_WAIT = 0.05  # seconds; a shorter one is left to the margin of the reply
 FULL_RETRY_INTERVAL = 0.1  # seconds between two attempts to accept while there is no place
@@ -42,6 +43,8 @@
         self._start_reading = start_reading
         self._is_full = False  # connections are left waiting for a place
         self._full_until = -inf  # when that was last over
+        self._waiting = 0  # connections in the backlog, as last seen
+        self._backlog_times = BacklogTimes()
 
     async def accept(self, listening: socket.socket) -> None:
         """Accept connections until cancelled."""
@@ -49,17 +52,35 @@
             await trio.lowlevel.wait_readable(listening)
             if not self.accept_pending(listening):
                 await trio.sleep(FULL_RETRY_INTERVAL)
+                self._observe_backlog(listening)
 
     def accept_pending(self, listening: socket.socket) -> bool:
         """Accept what has come; False where a limit is in the way."""
         if self.admission_control is None:
-            return self._accept_all(listening)
+            return self._accept_and_observe(listening)
         began = thread_time()
         try:
-            return self._accept_all(listening)
+            return self._accept_and_observe(listening)
         finally:
             self.admission_control.on_accepted(thread_time() - began)
 
+    def _accept_and_observe(self, listening: socket.socket) -> bool:
+        """Accept what may be accepted, and note how many wait before that and behind it."""
+        if self._waiting:
+            self._observe_backlog(listening)
+        else:  # the first one has just come
+            self._backlog_times.observe(self.registry.clock(), 0)
+        is_empty = self._accept_all(listening)
+        if is_empty:
+            self._waiting = 0
+        else:
+            self._observe_backlog(listening)
+        return is_empty
+
+    def _observe_backlog(self, listening: socket.socket) -> None:
+        self._waiting = backlog_length(listening)
+        self._backlog_times.observe(self.registry.clock(), self._waiting)
+
     def _accept_all(self, listening: socket.socket) -> bool:
         connections, limits = self.registry.connections, self.limits
         if self._is_full:
@@ -88,10 +109,10 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         now = self.registry.clock()
         client = self._new_connection(sock, now, source)
-        waited = unread_for(sock)
-        if waited >= MIN_BACKLOG_WAIT:
-            client.unread_since = now - waited
-            client.is_held_back = self._full_until >= client.unread_since
+        unread_since = self._unread_since(sock, now)
+        if now - unread_since >= MIN_BACKLOG_WAIT:
+            client.unread_since = unread_since
+            client.is_held_back = self._full_until >= unread_since
         connections = self.registry.connections
         client.over_limit = (
             len(connections) >= self.limits.max_connections and not self.idle_reaper.close_one_idle()
@@ -99,3 +120,16 @@
         client.handle = connections.add(client)
         client.client_id = b"%d" % client.handle
         self._start_reading(client)
+
+    def _unread_since(self, sock: socket.socket, now: float) -> float:
+        """When what stands unread on the next connection of the backlog came, at the earliest.
+
+        The system tells when the last bytes came. Where there are several requests, or one in pieces, the
+        first may have come as early as the connection.
+        """
+        absent_at = self._backlog_times.on_accepted()
+        unread = unread_input(sock)
+        last_came_at = now - unread.age
+        if unread.came_at_once or absent_at == -inf:
+            return last_came_at
+        return min(absent_at, last_came_at)
--- a/gaugehinge/net/sockets.py
+++ b/gaugehinge/net/sockets.py
@@ -10,13 +10,16 @@
 import select
 import socket
 import struct
+from typing import NamedTuple
 
 import trio
 
 from .configuration import Address
 
-TCP_INFO_SIZE = 104  # bytes of struct tcp_info of linux/tcp.h up to its statistics
+TCP_INFO_SIZE = 160  # bytes of struct tcp_info of linux/tcp.h up to its counts of segments
+BACKLOG_LENGTH_OFFSET = 24  # in that of a listener: connections not accepted yet
 LAST_DATA_RECEIVED_OFFSET = 52  # in that: milliseconds since the last data came
+DATA_SEGMENTS_OFFSET = 152  # in that: segments with data that came
 MILLISECONDS = 1000.0
 SIOCOUTQNSD = 0x894B  # linux/sockios.h: asks how much of the send queue has not been sent
 # Long values come in few passes with so much room. One buffer serves all: nothing waits while it is in use.
@@ -145,17 +148,42 @@
         return 0
 
 
-def unread_for(sock: socket.socket) -> float:
-    """Seconds since the last bytes came that stand unread; 0 with none, or where the system does not tell."""
+class UnreadInput(NamedTuple):
+    """What the system tells of bytes that stand unread."""
+
+    age: float  # seconds since the last of them came; 0 with none, or where it does not tell
+    came_at_once: bool  # in one segment; else the first of them may have come earlier
+
+
+NO_UNREAD_INPUT = UnreadInput(0.0, True)
+
+
+def unread_input(sock: socket.socket) -> UnreadInput:
+    """What stands unread on a connection of which nothing was read."""
     if silent(sock):
-        return 0.0
+        return NO_UNREAD_INPUT
     try:
         info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
     except OSError:
-        return 0.0
-    if len(info) < LAST_DATA_RECEIVED_OFFSET + 4:
-        return 0.0
-    return struct.unpack_from("I", info, LAST_DATA_RECEIVED_OFFSET)[0] / MILLISECONDS
+        return NO_UNREAD_INPUT
+    age = _read_tcp_info(info, LAST_DATA_RECEIVED_OFFSET) / MILLISECONDS
+    return UnreadInput(age, _read_tcp_info(info, DATA_SEGMENTS_OFFSET) <= 1)
+
+
+def backlog_length(listening: socket.socket) -> int:
+    """How many connections a listener has not accepted yet; 0 where the system does not tell."""
+    try:
+        info = listening.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+    except OSError:
+        return 0
+    return _read_tcp_info(info, BACKLOG_LENGTH_OFFSET)
+
+
+def _read_tcp_info(info: bytes, offset: int) -> int:
+    """A field of 32 bits; 0 where the system's structure is too short for it."""
+    if len(info) < offset + 4:
+        return 0
+    return struct.unpack_from("I", info, offset)[0]
 
 
 def silent(sock: socket.socket) -> bool:
--- a/tests/test_listener_backlog.py
+++ b/tests/test_listener_backlog.py
@@ -4,6 +4,7 @@
 import trio
 
 from gaugehinge.net import connection_registry, idle_reaper
+from gaugehinge.net.resp import bulk
 from tests.helper import Cache, both, fleet, run
 
 BUSY = b"-BUSY\r\n"
@@ -82,3 +83,48 @@
             assert await client.get(labels="c=read,t=acme,d=300") == b"$5\r\nof k1\r\n"
 
     run(scene)
+
+
+@both
+@pytest.mark.parametrize("in_pieces", [False, True], ids=["two requests", "a request in pieces"])
+@pytest.mark.parametrize("wait_ms", [100, 1100])
+def test_what_came_first_on_a_connection_in_the_backlog_is_not_answered_late(tmp_path, wait_ms, in_pieces):
+    """The system tells when the last bytes came alone, here a second behind the first ones."""
+
+    async def scene():
+        async with fleet(tmp_path, [Cache("stall")], sockets=64) as made:
+            crowd = await fill(made)
+            await trio.sleep(0.3)
+            client = await made.client()
+            sent = trio.current_time()
+            labels = f"c=read,t=acme,d={wait_ms}"
+            request = b"*4\r\n" + b"".join(map(bulk, [b"KV.GET", b"k1", b"first", labels.encode()]))
+            cut = 20 if in_pieces else len(request)
+            await client.stream.send_all(request[:cut])
+            await trio.sleep(1.0)
+            await client.stream.send_all(request[cut:] or request.replace(b"first", b"other"))
+            await trio.sleep(0.05)
+            for one in crowd:
+                await one.stream.aclose()
+            answer = await client.answer()
+            assert answer is None or trio.current_time() - sent < wait_ms / 1000 + ANSWER_GRACE
+
+    run(scene)
+
+
+@both
+def test_several_requests_from_the_backlog_are_served_while_their_client_waits(tmp_path):
+    async def scene():
+        async with fleet(tmp_path, sockets=64) as made:
+            crowd = await fill(made)
+            await trio.sleep(1.0)
+            client = await made.client()
+            for ident in ("first", "other"):
+                await client.send("KV.GET", "k1", ident, "c=read,t=acme,d=900")
+                await trio.sleep(0.1)
+            for one in crowd:
+                await one.stream.aclose()
+            for _ in range(2):
+                assert await client.answer() in (b"$5\r\nof k1\r\n", BUSY)
+
+    run(scene)
