--- a/gaugehinge/recovery/snapshot.py
+++ b/gaugehinge/recovery/snapshot.py
@@ -8,12 +8,12 @@
 
 import hashlib
 import os
-import secrets
-from contextlib import suppress
 from pathlib import Path
 
 import msgspec
 
+from ..store.atomic_file import AtomicFile
+
 VERSION = 1
 MOST_BYTES = 1 << 20  # of the file. What does not fit is left out: what was learnt first, then the list
 MAGIC = b"gaugehinge recovery 1\n"
@@ -113,18 +113,11 @@
     def __init__(self, path: str, identity: str) -> None:
         self.path = Path(path)
         self.identity = identity
-        # A name of its own: the process before may be amid the same, and both would write into one file.
-        self.part = self.path.with_name(f"{self.path.name}.{secrets.token_hex(4)}.part")
+        self._file = AtomicFile(path)
 
     def save(self, kept: Kept) -> None:
         """Whole or not at all, and on the disk when this returns. Raises OSError, ValueError."""
-        data = encode(kept)
-        number = os.open(self.part, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
-        with os.fdopen(number, "wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
-        self.part.replace(self.path)
+        self._file.replace(encode(kept))
         folder = os.open(self.path.parent, os.O_RDONLY)
         try:
             os.fsync(folder)  # the name, too, outlives a loss of power
@@ -134,9 +127,7 @@
     def load(self) -> tuple[Kept | None, str]:
         """The snapshot, or None and why there is none: a file that cannot be used is set aside under
         another name, and the text says which."""
-        for left in self.path.parent.glob(f"{self.path.name}.*.part"):
-            with suppress(OSError):
-                left.unlink()  # of a process that was killed amid it
+        self._file.remove_abandoned_parts()
         try:
             with self.path.open("rb") as file:
                 data = file.read(MOST_BYTES + 1)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -15,7 +15,6 @@
 import pytest
 import trio
 
-from gaugehinge.hosted import feed_snapshot
 from gaugehinge.hosted.feed_snapshot import FeedSnapshot
 from gaugehinge.net import connection_pool as pool_module
 from gaugehinge.net import startup
@@ -353,8 +352,8 @@
         except OSError as bad:  # the router goes on by it, with a line in its log
             errors.append(bad)
 
-    monkeypatch.setattr(feed_snapshot.os, "open", open_)
-    monkeypatch.setattr(feed_snapshot.os, "fsync", fsync)
+    monkeypatch.setattr(os, "open", open_)
+    monkeypatch.setattr(os, "fsync", fsync)
     pairs = (("old", old), ("new", new))
     threads = [threading.Thread(target=save, name=name, args=(each, feeds[name])) for name, each in pairs]
     threads[0].start()
--- a/tests/test_store_files.py
+++ b/tests/test_store_files.py
@@ -1,6 +1,8 @@
 """Store files: verification, corruption, snapshots, locks, other versions, full disks, kills, commands."""
 
+import fcntl
 import json
+import os
 import random
 import sqlite3
 import subprocess
@@ -13,6 +15,8 @@
 from store_data import filled_store
 
 from gaugehinge.cli.main import main
+from gaugehinge.hosted.feed_snapshot import FeedSnapshot
+from gaugehinge.recovery.snapshot import Kept, SnapshotFile
 from gaugehinge.store import connection, schema
 from gaugehinge.store.async_store import AsyncStore
 from gaugehinge.store.crash_test import kill_writer_once
@@ -25,6 +29,7 @@
 from gaugehinge.store.records import IdempotencyRecord, Mutation
 from gaugehinge.store.snapshots import newest_snapshot, restore
 from gaugehinge.store.store import Store
+from gaugehinge.tenancy.feed import Feed
 
 
 @pytest.mark.parametrize(
@@ -192,3 +197,37 @@
     assert CliRunner().invoke(main, [*arguments, "--yes"]).exit_code == 0
     assert "revision 20, 7 things" in CliRunner().invoke(main, ["store", "verify", str(path)]).output
     assert json.loads(Store(path).get("tenant", "t3").body) == {"n": 17}
+
+
+@pytest.mark.parametrize("kind", ["feed", "recovery"])
+@pytest.mark.parametrize("step", ["written, not synced", "opened, not locked"])
+def test_a_reader_amid_the_writing_of_a_snapshot_leaves_it(tmp_path, monkeypatch, kind, step):
+    """It removed the part that was just being written, and no snapshot followed until the next change."""
+    path = str(tmp_path / "snapshot")
+    if kind == "feed":
+        writer, reader, content = FeedSnapshot(path), FeedSnapshot(path), Feed("s", 5, True, [], [])
+    else:
+        writer, reader, content = (
+            SnapshotFile(path, "i"),
+            SnapshotFile(path, "i"),
+            Kept("i", 1, 1.0, 1.0, "b"),
+        )
+    module, name = (os, "fsync") if step == "written, not synced" else (fcntl, "flock")
+    real = getattr(module, name)
+
+    def read_first(*arguments):
+        monkeypatch.undo()
+        reader.load()
+        return real(*arguments)
+
+    monkeypatch.setattr(module, name, read_first)
+    writer.save(content)
+    assert reader.load() in (content, (content, ""))
+    assert [file.name for file in tmp_path.iterdir()] == ["snapshot"]
+
+
+def test_a_part_whose_writer_was_killed_is_removed(tmp_path):
+    part = tmp_path / "snapshot.0123abcd.part"
+    part.write_bytes(b"half")
+    assert FeedSnapshot(str(tmp_path / "snapshot")).load() is None
+    assert not part.exists()
