A SIGHUP before the interpreter comes to the router's first line does not end it

Cause: the handler is set in the first line of the router, but until the interpreter comes there the system's default for SIGHUP holds, which ends a process.

Evidence: forced, the signal as the interpreter imports `sitecustomize`, before anything of the router: started as the deploy file did it ended by signal 1.

The soak starts its routers in the same way.

--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -14,6 +14,8 @@
 SAMPLE_INTERVAL = 0.01  # seconds
 RESOURCE_INTERVAL = 25  # samples
 PAGE_KB = 4
+# As `run` of the deploy file starts a router: a SIGHUP before its handler stands is ignored.
+START = ("sh", "-c", "trap '' HUP; exec \"$@\"", "sh")
 
 
 class StallSampler:
@@ -68,7 +70,7 @@
         environment = {**os.environ, "LB_CONFIG": str(self.path)}
         with self.log_path.open("wb") as log:
             self.child = subprocess.Popen(
-                [sys.executable, "-m", *words],
+                [*START, sys.executable, "-m", *words],
                 env=environment,
                 stderr=log,
                 stdout=log,
--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -1,6 +1,10 @@
 """Signals that reach a router while it starts, and in its last milliseconds."""
 
 import os
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
 
 import pytest
 
@@ -32,6 +36,24 @@
     assert ended.stderr.startswith("bad configuration: ")
 
 
+DEPLOY_FILE = Path(__file__).parent.parent / "deploy" / "balancer.toml"
+HANGUP_AT_START = "import os, signal\nos.kill(os.getpid(), signal.SIGHUP)\n"
+
+
+def test_a_sighup_before_the_interpreter_comes_to_the_router_does_not_end_it(tmp_path):
+    """As the deploy file starts it; the interpreter imports `sitecustomize` before anything of the router."""
+    (tmp_path / "sitecustomize.py").write_text(HANGUP_AT_START)
+    command = tomllib.loads(DEPLOY_FILE.read_text())["run"].replace(".venv/bin/python", sys.executable)
+    path = tmp_path / "config.json"
+    path.write_text("{}")
+    environment = {**os.environ, "LB_CONFIG": str(path), "PYTHONPATH": str(tmp_path)}
+    ended = subprocess.run(
+        ["sh", "-c", command], env=environment, cwd=DEPLOY_FILE.parent.parent, capture_output=True, timeout=60
+    )
+    assert ended.returncode == 2
+    assert ended.stderr.startswith(b"bad configuration: ")
+
+
 # Sends the signal as the interpreter clears its modules: the handlers are reset by then.
 PROGRAM_THAT_IS_SIGNALLED_AT_ITS_END = """
 import os, runpy, signal, sys
