The time in which a reply stood unread before a late loop is no latency of its server

An attempt waits for a first time that leaves room for a second one, by what attempts usually take; one stall of 0.2 s of the router within an attempt made that so long that the first one got all of the operation's time.

Cause: what an attempt took was counted up to the moment in which the router read its reply.

Change: where the loop is late by 20 ms or more, the system is asked since when the reply stood there, and what the attempt took ends then. The decisions get the rest beside it: the shedder's lateness counts it as before.

--- a/gaugehinge/net/connection_pool.py
+++ b/gaugehinge/net/connection_pool.py
@@ -17,7 +17,18 @@
 from .connection import Connection, PendingAttempt, ServerPool
 from .endpoint_list import EndpointListUpdate
 from .extensions import Extensions
-from .sockets import connect, is_connected, receive, receive_now, send_some, shut, silent, tcp, wait_writable
+from .sockets import (
+    connect,
+    input_age,
+    is_connected,
+    receive,
+    receive_now,
+    send_some,
+    shut,
+    silent,
+    tcp,
+    wait_writable,
+)
 from .timer_queue import TimerQueue
 
 # Of the time after which a server closes an idle connection. A request written just then may be lost.
@@ -29,6 +40,7 @@
 RETRY_DEADLINE_MARGIN = 0.05
 # Seconds behind a doubtful reply for which a retry must not meet the same doubt on a used connection.
 DOUBT_TIME = 1.0
+MIN_LOOP_LATENESS = 0.02  # seconds; with less the time for which a reply stood unread is not asked for
 SWEEP_INTERVAL = 0.5  # seconds between two looks for connections that have been idle for too long
 
 
@@ -64,12 +76,12 @@
         max_connections: int,
         connect_timeout: float,
         server_idle_timeout: float,
-        on_attempt_ended: Callable[[Attempt, Outcome, float, bytes | None, bytes], None],
+        on_attempt_ended: Callable[[Attempt, Outcome, float, bytes | None, bytes, float], None],
     ) -> None:
         """Times are in seconds; a server closes connections that were idle for `server_idle_timeout`.
 
-        `on_attempt_ended` gets each attempt once, with its outcome, the seconds since it was sent, the value
-        and the server's load report.
+        `on_attempt_ended` gets each attempt once, with its outcome, the seconds that it took, the value, the
+        server's load report, and the seconds for which its reply stood unread since the loop was late.
         """
         self.nursery = nursery
         self.timers = timers
@@ -262,13 +274,14 @@
         outcome: Outcome,
         value: bytes | None = None,
         reported_load: bytes = b"",
+        own_lag: float = 0.0,
     ) -> None:
         if self.pending.pop(pending.attempt, None) is None:
             return
         self.timers.cancel(pending.timer)
-        elapsed = self.clock() - pending.attempt.sent_at
+        elapsed = max(self.clock() - pending.attempt.sent_at - own_lag, 0.0)
         try:
-            self.on_attempt_ended(pending.attempt, outcome, elapsed, value, reported_load)
+            self.on_attempt_ended(pending.attempt, outcome, elapsed, value, reported_load, own_lag)
         except Exception:  # a defect fails this attempt alone
             ident = pending.payload.ident
             logger.exception("failed to handle the outcome of an attempt of operation {}", ident)
@@ -411,12 +424,22 @@
         if reply is None:
             _send_fence(connection)
             return
+        own_lag = self._time_unread(connection)
         connection.pending = pending.connection = None
         if reply.reusable and data:
             self._release(connection)
         else:
             self._close(connection)
-        self._end(pending, reply.outcome, reply.value, reply.reported_load)
+        self._end(pending, reply.outcome, reply.value, reply.reported_load, own_lag)
+
+    def _time_unread(self, connection: Connection) -> float:
+        """Seconds for which the reply that was just read stood there, where the loop is late; else 0.
+
+        Counted as its server's, they made sound servers look slow: attempts behind a stall waited longer.
+        """
+        if self.timers.lateness(self.clock()) < MIN_LOOP_LATENESS:
+            return 0.0
+        return input_age(connection.sock)
 
     def _on_connection_ended(self, connection: Connection, failure: Exception | None) -> None:
         """End the attempt on a connection that ended, by how far the attempt had come.
--- a/gaugehinge/net/dispatcher.py
+++ b/gaugehinge/net/dispatcher.py
@@ -150,8 +150,12 @@
         elapsed: float,
         value: bytes | None,
         load_report: bytes = b"",
+        own_lag: float = 0.0,
     ) -> None:
-        """Take an attempt's outcome, `elapsed` seconds after its start; the first value ends it."""
+        """Take an attempt's outcome; the first value ends its operation.
+
+        It took `elapsed` seconds; its reply stood unread for `own_lag` seconds more.
+        """
         pending = self.pending_operations.get(attempt.operation.ident)  # type: ignore[arg-type]
         if value is not None and outcome is not Outcome.SUCCEEDED:
             for observer in self.redirect_observers:
@@ -162,7 +166,9 @@
             self._reply(pending, value)
         try:
             load = read_reported_load(load_report.decode("latin-1"), "=") if self.reports_load else None
-            steps = self.router.on_attempt_finished(attempt, outcome, elapsed, over, self.clock(), load)
+            steps = self.router.on_attempt_finished(
+                attempt, outcome, elapsed, over, self.clock(), load, own_lag
+            )
         except Exception:
             logger.exception("routing an attempt's outcome failed")
             attempt.in_flight = False
--- a/gaugehinge/net/sockets.py
+++ b/gaugehinge/net/sockets.py
@@ -162,24 +162,33 @@
     """What stands unread on a connection of which nothing was read."""
     if silent(sock):
         return NO_UNREAD_INPUT
-    try:
-        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
-    except OSError:
-        return NO_UNREAD_INPUT
-    age = _read_tcp_info(info, LAST_DATA_RECEIVED_OFFSET) / MILLISECONDS
-    return UnreadInput(age, _read_tcp_info(info, DATA_SEGMENTS_OFFSET) <= 1)
+    info = _tcp_info(sock)
+    return UnreadInput(_input_age(info), _field(info, DATA_SEGMENTS_OFFSET) <= 1)
+
+
+def input_age(sock: socket.socket) -> float:
+    """Seconds since the last bytes came, read or not; 0 where the system does not tell."""
+    return _input_age(_tcp_info(sock))
 
 
 def backlog_length(listening: socket.socket) -> int:
     """How many connections a listener has not accepted yet; 0 where the system does not tell."""
+    return _field(_tcp_info(listening), BACKLOG_LENGTH_OFFSET)
+
+
+def _tcp_info(sock: socket.socket) -> bytes:
+    """The system's struct tcp_info of a socket; empty where it does not tell."""
     try:
-        info = listening.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+        return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
     except OSError:
-        return 0
-    return _read_tcp_info(info, BACKLOG_LENGTH_OFFSET)
+        return b""
+
+
+def _input_age(info: bytes) -> float:
+    return _field(info, LAST_DATA_RECEIVED_OFFSET) / MILLISECONDS
 
 
-def _read_tcp_info(info: bytes, offset: int) -> int:
+def _field(info: bytes, offset: int) -> int:
     """A field of 32 bits; 0 where the system's structure is too short for it."""
     if len(info) < offset + 4:
         return 0
--- a/gaugehinge/net/timer_queue.py
+++ b/gaugehinge/net/timer_queue.py
@@ -57,6 +57,7 @@
         self._heap: list[tuple[float, int, Timer]] = []
         self._counter = 0  # keeps timers of the same time in order
         self._cancelled = 0  # timers of the heap
+        self._next_sample_at = inf  # by the clock
         self._earlier_timer = trio.Event()
 
     def __len__(self) -> int:
@@ -97,19 +98,23 @@
             heapify(self._heap)
             self._cancelled = 0
 
+    def lateness(self, now: float) -> float:
+        """Seconds by which the loop is late, or was at the last sample."""
+        return max(self.current_lag, now - self._next_sample_at)
+
     async def run(self) -> None:
         """Call timers as they fall due, until cancelled."""
-        next_sample = self.clock() + LAG_SAMPLE_INTERVAL
+        self._next_sample_at = self.clock() + LAG_SAMPLE_INTERVAL
         while True:
             self._earlier_timer = trio.Event()
-            until = min(self._heap[0][0], next_sample) if self._heap else next_sample
+            until = min(self._heap[0][0], self._next_sample_at) if self._heap else self._next_sample_at
             with trio.move_on_after(max(until - self.clock(), 0.0)):
                 await self._earlier_timer.wait()
             now = self.clock()
-            if now >= next_sample:
-                self.current_lag = now - next_sample
+            if now >= self._next_sample_at:
+                self.current_lag = now - self._next_sample_at
                 self.lag = max(min(self.current_lag, MAX_LAG), self.lag * LAG_DECAY)
-                next_sample = now + LAG_SAMPLE_INTERVAL
+                self._next_sample_at = now + LAG_SAMPLE_INTERVAL
             self._run_due(now)
 
     def _run_due(self, now: float) -> None:
--- a/gaugehinge/routing/attempt_results.py
+++ b/gaugehinge/routing/attempt_results.py
@@ -28,8 +28,13 @@
         self._retries = retries
         self._shedder = shedder
 
-    def record(self, attempt: Attempt, outcome: Outcome, elapsed: float, now: float) -> None:
-        """Take in an attempt that ended; the order matters, since parts draw random numbers."""
+    def record(
+        self, attempt: Attempt, outcome: Outcome, elapsed: float, now: float, own_lag: float = 0.0
+    ) -> None:
+        """Take in an attempt that ended; the order matters, since parts draw random numbers.
+
+        The router's own lag, in seconds, makes its load late, which sheds; it is no server's latency.
+        """
         endpoint = attempt.endpoint
         self._load.on_attempt_ended(endpoint, outcome, elapsed, now)
         self._ejection.record_contact(attempt, outcome, now)
@@ -38,7 +43,7 @@
         self._record_health(attempt, outcome, elapsed, now)
         self._limits.record_duration(endpoint, elapsed, now)
         if not self._retries.excuses(attempt, outcome) and outcome not in NO_LOAD_EVIDENCE:
-            self._shedder.record_lateness(attempt, outcome, elapsed)
+            self._shedder.record_lateness(attempt, outcome, elapsed + own_lag)
         self._load.reassess(endpoint, now)
 
     def _record_health(self, attempt: Attempt, outcome: Outcome, elapsed: float, now: float) -> None:
--- a/gaugehinge/routing/router.py
+++ b/gaugehinge/routing/router.py
@@ -149,10 +149,12 @@
         over: bool,
         now: float,
         held: float | None = None,
+        own_lag: float = 0.0,
     ) -> list[Step]:
         """Say what to do after an outcome, for its operation and for those that it frees.
 
-        `over` tells whether the operation got its answer, `held` what the server reported that it holds.
+        `over` tells whether the operation got its answer, `held` what the server reported that it holds,
+        `own_lag` for how many seconds beyond `elapsed` the reply waited for this router.
         """
         if self.load.is_bucket_over(now):
             self._start_bucket(now)
@@ -164,7 +166,7 @@
         else:
             if held is not None:
                 self.load.record_load_report(endpoint, held, now)
-            self.results.record(attempt, outcome, elapsed, now)
+            self.results.record(attempt, outcome, elapsed, now, own_lag)
         operation.finished = operation.finished or over
         if not operation.finished:
             retry_safety.record_possible_run(attempt, outcome)
--- a/tests/test_own_lag.py
+++ b/tests/test_own_lag.py
@@ -210,6 +210,36 @@
     assert not logged
 
 
+@pytest.mark.parametrize("stalled", ["mark", "read"])
+def test_a_stall_within_one_attempt_does_not_make_the_next_one_wait_for_a_silent_server(tmp_path, stalled):
+    """Taken for its server's latency, the time in which a reply stood unread left none for a second attempt."""
+
+    class Server(Cache):
+        silent = ()  # commands that get no reply
+
+        async def answer(self, stream, command):
+            if command[2] in self.silent:
+                await trio.sleep_forever()
+            stream.socket._sock.send(REPLY.replace(b"k1", command[2]))
+            if command[2] == b"i0":
+                stall(0.2)
+
+    async def scene():
+        servers = [Server(), Server(), Server()]
+        async with fleet(tmp_path, servers, settings=THROUGH) as made:
+            client = await made.client()
+            if stalled == "mark":
+                await client.ask("KV.SET", "k1", "i0", "c=mark,t=acme,d=2000,k=m1", "new")
+            else:
+                await client.ask("KV.GET", "k1", "i0", "c=read,t=acme,d=2000")
+            [first] = [server for server in servers if server.commands]
+            first.silent = (b"i1",)
+            assert await client.ask("KV.GET", "k1", "i1", "c=read,t=acme,d=1000") == bulk(b"i1")
+            assert first.commands[-1][2] == b"i1"
+
+    trio.run(scene)
+
+
 @pytest.mark.parametrize("rest", [REPLY, REPLY[:-4]], ids=["whole", "a part"])
 def test_a_reply_that_stands_unread_is_taken_at_the_deadline_though_its_task_gets_no_turn(monkeypatch, rest):
     sent, turn = trio.Event(), trio.Event()
