--- a/tests/test_own_lag.py
+++ b/tests/test_own_lag.py
@@ -212,7 +212,7 @@
 
 @pytest.mark.parametrize("stalled", ["mark", "read"])
 def test_a_stall_within_one_attempt_does_not_make_the_next_one_wait_for_a_silent_server(tmp_path, stalled):
-    """Taken for its server's latency, the time in which a reply stood unread left none for a second attempt."""
+    """Taken for its server's latency, the time for which a reply stood unread left none for a retry."""
 
     class Server(Cache):
         silent = ()  # commands that get no reply
