Only endings in doubt that come near each other end the reuse of connections to the origin

Cause: by chance one of 256 values of random bytes ends as a response begins. Behind each such doubt 16 responses were the last ones of their connections, all idle connections were closed, and once-only writes went on new connections for good.

Change: two doubts within 16 responses are needed for that, and 16 ordinary ones in a row end it, for all kinds of requests. At a share p of such endings, with q = 1 - (1 - p)^16, at most p (1 - q^2) of all requests are made again: 3.7% at any share; where all values end so, two and those in flight.

--- a/gaugehinge/net/codec.py
+++ b/gaugehinge/net/codec.py
@@ -30,10 +30,11 @@
 class DoubtfulReply(MalformedReply):
     """The reply may be a late copy of an earlier one on its connection: the attempt may have run or not."""
 
-    def __init__(self, cause: DoubtCause) -> None:
-        """`cause` says what is doubtful in it."""
+    def __init__(self, cause: DoubtCause, concerns_all: bool) -> None:
+        """`concerns_all`: its server's next replies on used connections are likely to be in doubt as well."""
         super().__init__(cause.value)
         self.cause = cause
+        self.concerns_all = concerns_all
 
 
 @dataclass(slots=True, frozen=True)
--- a/gaugehinge/net/connection.py
+++ b/gaugehinge/net/connection.py
@@ -39,7 +39,6 @@
     started: float  # Unix time; a process that was started later is another ServerPool
     idle: list[Connection] = field(default_factory=list)  # in the order of `idle_since`
     repeats_replies: bool = False  # whether two of its replies on one connection had the same content
-    has_ambiguous_endings: bool = False  # whether a reply ended as another one begins, on a used connection
     doubted_until: float = 0.0  # by the pool's clock, behind a reply that was in doubt; 0: none was
 
 
--- a/gaugehinge/net/connection_pool.py
+++ b/gaugehinge/net/connection_pool.py
@@ -403,7 +403,8 @@
         in a row ejected a sound server, and the others were overloaded. A second call does nothing.
         """
         if isinstance(failure, DoubtfulReply):
-            if on_doubtful_reply(connection.endpoint, failure.cause, self.clock()):
+            on_doubtful_reply(connection.endpoint, failure.cause, self.clock())
+            if failure.concerns_all:
                 self._close_idle(connection.endpoint)
         elif failure is not None and not _is_expected(failure):
             logger.opt(exception=failure).error("connection to server {} failed", connection.endpoint.uid)
--- a/gaugehinge/net/connection_reuse.py
+++ b/gaugehinge/net/connection_reuse.py
@@ -12,36 +12,25 @@
 DOUBT_TIME = 1.0  # seconds for which a retry must not meet the same doubt on a used connection
 
 
-def on_doubtful_reply(endpoint: ServerPool, cause: DoubtCause, now: float) -> bool:
-    """Note a reply in doubt; whether idle connections would bring the same doubt, and are to be closed.
-
-    Retries go on new connections for DOUBT_TIME, and all attempts where an endpoint's replies are alike.
-    """
+def on_doubtful_reply(endpoint: ServerPool, cause: DoubtCause, now: float) -> None:
+    """Let retries go on new connections for DOUBT_TIME, and all attempts where replies are alike."""
     endpoint.doubted_until = now + DOUBT_TIME
-    if cause is DoubtCause.REPEATED:
-        endpoint.repeats_replies = True
-    elif cause is DoubtCause.ENDING:
-        endpoint.has_ambiguous_endings = True
-    else:
-        return False
-    return True
+    endpoint.repeats_replies |= cause is DoubtCause.REPEATED
 
 
 def may_reuse(endpoint: ServerPool, attempt: Attempt, now: float) -> bool:
     """Whether an attempt may go on a used connection.
 
-    Where replies are in doubt for what they are, a write that may not be repeated could only be called
-    failed, and a retry would meet the same doubt.
+    Where the replies of a server are alike, a write that may not be repeated could only be called failed.
     """
     if not endpoint.doubted_until:
         return True
     is_once_only = attempt.operation.traffic_type.effect is Effect.NON_IDEMPOTENT
-    if is_once_only and (endpoint.repeats_replies or endpoint.has_ambiguous_endings):
+    if endpoint.repeats_replies and is_once_only:
         return False
-    is_in_doubt = now < endpoint.doubted_until
-    if is_in_doubt and endpoint.repeats_replies:
-        return False
-    return not ((is_in_doubt or endpoint.has_ambiguous_endings) and _is_retry_at_endpoint(attempt))
+    if now >= endpoint.doubted_until:
+        return True
+    return not endpoint.repeats_replies and not _is_retry_at_endpoint(attempt)
 
 
 def may_keep(endpoint: ServerPool, now: float) -> bool:
--- a/gaugehinge/net/origin_codec.py
+++ b/gaugehinge/net/origin_codec.py
@@ -70,7 +70,8 @@
         self.endings.on_response(response.body, cause is DoubtCause.ENDING)
         if cause is not None:
             self.doubts.record(cause)
-            raise DoubtfulReply(cause)
+            is_repeated = cause is DoubtCause.REPEATED
+            raise DoubtfulReply(cause, concerns_all=is_repeated or self.endings.are_ambiguous)
         if response.status != HTTPStatus.OK:
             return ServerReply(outcome_of(response), reusable=False)
         reusable = response.reusable and not (state.responses.is_full() or self.endings.are_ambiguous)
--- a/gaugehinge/net/response_endings.py
+++ b/gaugehinge/net/response_endings.py
@@ -8,18 +8,19 @@
 
 from .response_memory import ends_in_response_start
 
-# In a row, until connections are used again. With a share p of ambiguous endings at most p (1 - p)^16 of all
-# requests are made again: 2.2% at any share.
-ORDINARY_RESPONSES = 16
+# Responses. Two doubts within so many end the reuse of connections, and so many ordinary endings in a row
+# begin it again.
+ENDINGS_LOOKED_AT = 16
 
 
 class ResponseEndings:
     """The endings of the last responses, on all connections."""
 
-    __slots__ = ("_ordinary_wanted",)
+    __slots__ = ("_ordinary_wanted", "_since_doubt")
 
     def __init__(self) -> None:
         """None was in doubt so far."""
+        self._since_doubt = ENDINGS_LOOKED_AT
         self._ordinary_wanted = 0
 
     @property
@@ -29,7 +30,9 @@
 
     def on_response(self, body: bytes, is_in_doubt: bool) -> None:
         """Take a response's body; `is_in_doubt`: for its ending, on a connection that was used before."""
-        if is_in_doubt or (self.are_ambiguous and ends_in_response_start(body)):
-            self._ordinary_wanted = ORDINARY_RESPONSES
+        is_second_doubt = is_in_doubt and self._since_doubt < ENDINGS_LOOKED_AT
+        self._since_doubt = 0 if is_in_doubt else self._since_doubt + 1
+        if is_second_doubt or (self.are_ambiguous and ends_in_response_start(body)):
+            self._ordinary_wanted = ENDINGS_LOOKED_AT
         elif self.are_ambiguous:
             self._ordinary_wanted -= 1
