--- /dev/null
+++ b/gaugehinge/net/connection_reuse.py
@@ -0,0 +1,46 @@
+"""Which attempts may go on a used connection, one that has carried another attempt. No I/O.
+
+A reply that is in doubt on a used connection is in none on a new one.
+"""
+
+from __future__ import annotations
+
+from ..routing.types import Attempt, Effect
+from .connection import ServerPool
+from .reply_doubts import DoubtCause
+
+DOUBT_TIME = 1.0  # seconds for which a retry must not meet the same doubt on a used connection
+
+
+def on_doubtful_reply(endpoint: ServerPool, cause: DoubtCause, now: float) -> None:
+    """Let retries go on new connections for DOUBT_TIME, and all attempts where replies are alike."""
+    endpoint.doubted_until = now + DOUBT_TIME
+    endpoint.repeats_replies |= cause is DoubtCause.REPEATED
+
+
+def may_reuse(endpoint: ServerPool, attempt: Attempt, now: float) -> bool:
+    """Whether an attempt may go on a used connection.
+
+    Where the replies of a server are alike, a write that may not be repeated could only be called failed.
+    """
+    if not endpoint.doubted_until:
+        return True
+    is_once_only = attempt.operation.traffic_type.effect is Effect.NON_IDEMPOTENT
+    if endpoint.repeats_replies and is_once_only:
+        return False
+    if now >= endpoint.doubted_until:
+        return True
+    return not endpoint.repeats_replies and not _is_retry_at_endpoint(attempt)
+
+
+def may_keep(endpoint: ServerPool, now: float) -> bool:
+    """Whether a connection may be kept for another attempt."""
+    return not (endpoint.repeats_replies and now < endpoint.doubted_until)
+
+
+def _is_retry_at_endpoint(attempt: Attempt) -> bool:
+    """Whether its operation has had another attempt at the same endpoint."""
+    return any(
+        earlier is not attempt and earlier.endpoint is attempt.endpoint
+        for earlier in attempt.operation.attempts
+    )
