--- a/gaugehinge/net/connection.py
+++ b/gaugehinge/net/connection.py
@@ -39,6 +39,7 @@
     started: float  # Unix time; a process that was started later is another ServerPool
     idle: list[Connection] = field(default_factory=list)  # in the order of `idle_since`
     repeats_replies: bool = False  # whether two of its replies on one connection had the same content
+    has_ambiguous_receipts: bool = False  # whether one to a write was in doubt for how it ends
     doubted_until: float = 0.0  # by the pool's clock, behind a reply that was in doubt; 0: none was
 
 
@@ -50,5 +51,6 @@
     payload: RequestPayload
     codec: Codec
     deadline: float  # by the pool's clock; then the attempt has timed out
+    own_lag: float  # seconds of what it takes that are this router's own doing
     timer: Timer = field(init=False)  # of the deadline; set as the pool starts the attempt
     connection: Connection | None = None  # None before it has one, and after it gave it up
--- a/gaugehinge/net/connection_acceptor.py
+++ b/gaugehinge/net/connection_acceptor.py
@@ -68,8 +68,8 @@
         """Accept what may be accepted, and note how many wait before that and behind it."""
         if self._waiting:
             self._observe_backlog(listening)
-        else:  # the first one has just come
-            self._backlog_times.observe(self.registry.clock(), 0)
+        else:  # the first one came since the loop was punctual
+            self._backlog_times.observe(self.registry.timers.punctual_at(self.registry.clock()), 0)
         is_empty = self._accept_all(listening)
         if is_empty:
             self._waiting = 0
@@ -126,8 +126,8 @@
 def _unread_since(sock: socket.socket, now: float, absent_at: float) -> float:
     """When what stands unread on a connection came, at the earliest; `absent_at`: that had not come yet.
 
-    The system tells when the last bytes came. Where there are several requests, or one in pieces, the first may
-    have come as early as the connection.
+    The system tells when the last bytes came. Where there are several requests, or one in pieces, the first
+    may have come as early as the connection.
     """
     unread = unread_input(sock)
     last_came_at = now - unread.age
--- a/gaugehinge/net/connection_pool.py
+++ b/gaugehinge/net/connection_pool.py
@@ -19,6 +19,7 @@
 from .endpoint_list import EndpointListUpdate
 from .extensions import Extensions
 from .sockets import (
+    acknowledgement_age,
     connect,
     input_age,
     is_connected,
@@ -30,7 +31,7 @@
     tcp,
     wait_writable,
 )
-from .timer_queue import TimerQueue
+from .timer_queue import MIN_LATENESS, TimerQueue
 
 # Of the time after which a server closes an idle connection. A request written just then may be lost.
 IDLE_TIMEOUT_FRACTION = 0.7
@@ -39,7 +40,6 @@
 REUSE_DELAY = 0.01
 # Seconds for an attempt's last byte to reach its server, before the time by which it has to be there.
 RETRY_DEADLINE_MARGIN = 0.05
-MIN_LOOP_LATENESS = 0.02  # seconds; with less the time for which a reply stood unread is not asked for
 SWEEP_INTERVAL = 0.5  # seconds between two looks for connections that have been idle for too long
 
 
@@ -135,8 +135,9 @@
 
         It ends by its operation's deadline: the decision for it may lie some time back.
         """
-        deadline = min(self.clock() + timeout, attempt.operation.deadline)
-        pending = PendingAttempt(attempt, payload, codec, deadline)
+        now = self.clock()
+        deadline = min(now + timeout, attempt.operation.deadline)
+        pending = PendingAttempt(attempt, payload, codec, deadline, own_lag=now - attempt.sent_at)
         self.pending[attempt] = pending
         pending.timer = self.timers.call_at(pending.deadline, self._on_timeout, pending)
         endpoint = self.endpoints.get(attempt.endpoint.ident)
@@ -220,19 +221,18 @@
         attempt, endpoint = pending.attempt, connection.endpoint
         if attempt.operation.finished or attempt.endpoint.state is not EndpointState.UP:
             return False
-        if self.clock() >= pending.deadline:
-            return False
         if self.endpoints.get(endpoint.ident) is not endpoint:
             return False
-        return self._may_send(attempt) and pending.payload.client_is_waiting()
+        return self._may_send(pending) and pending.payload.client_is_waiting()
 
-    def _may_send(self, attempt: Attempt) -> bool:
+    def _may_send(self, pending: PendingAttempt) -> bool:
         """Whether the next byte of an attempt may be written: with the last one its server acts.
 
         A connection that came up late, or a server that read slowly, held a retry up until its server had
         forgotten the first attempt: the operation took effect a second time.
         """
-        if self.clock() > attempt.operation.retry_deadline - RETRY_DEADLINE_MARGIN:
+        attempt, now = pending.attempt, self.clock()
+        if now >= pending.deadline or now > attempt.operation.retry_deadline - RETRY_DEADLINE_MARGIN:
             return False
         for policy in self.attempt_policies:  # noqa: SIM110 - a generator would cost each byte's way more
             if not policy.may_send(attempt):
@@ -247,7 +247,7 @@
                     await wait_writable(connection.sock)
                 if connection.pending is not pending:
                     return
-                if not connection.request_sent and not self._may_send(pending.attempt):
+                if not connection.request_sent and not self._may_send(pending):
                     self._abandon(pending)
                     self._end_soon(pending, Outcome.NOT_SENT)
                     return
@@ -272,14 +272,13 @@
         outcome: Outcome,
         value: bytes | None = None,
         reported_load: bytes = b"",
-        own_lag: float = 0.0,
     ) -> None:
         if self.pending.pop(pending.attempt, None) is None:
             return
         self.timers.cancel(pending.timer)
-        elapsed = max(self.clock() - pending.attempt.sent_at - own_lag, 0.0)
+        elapsed = max(self.clock() - pending.attempt.sent_at - pending.own_lag, 0.0)
         try:
-            self.on_attempt_ended(pending.attempt, outcome, elapsed, value, reported_load, own_lag)
+            self.on_attempt_ended(pending.attempt, outcome, elapsed, value, reported_load, pending.own_lag)
         except Exception:  # a defect fails this attempt alone
             ident = pending.payload.ident
             logger.exception("failed to handle the outcome of an attempt of operation {}", ident)
@@ -357,6 +356,8 @@
         try:
             await self._connect(connection)
             if connection.is_up and connection.pending is not None:  # no local may keep the attempt alive
+                if self._is_loop_late():
+                    connection.pending.own_lag += acknowledgement_age(connection.sock)
                 self._start(connection, connection.pending)
                 await self._read(connection)
         except Exception as error:
@@ -370,6 +371,8 @@
             due = self.clock() + self.connect_timeout
             timer = self.timers.call_at(due, self._on_connect_timeout, connection, scope)
             connection.is_begun = True
+            if connection.pending is not None:  # nothing of its time so far was its server's
+                connection.pending.own_lag = self.clock() - connection.pending.attempt.sent_at
             try:
                 await connect(connection.sock, connection.endpoint.address)
             finally:
@@ -408,22 +411,21 @@
         if reply is None:
             _send_fence(connection)
             return
-        own_lag = self._time_unread(connection)
+        if self._is_loop_late():
+            pending.own_lag += input_age(connection.sock)
         connection.pending = pending.connection = None
         if reply.reusable and data:
             self._release(connection)
         else:
             self._close(connection)
-        self._end(pending, reply.outcome, reply.value, reply.reported_load, own_lag)
+        self._end(pending, reply.outcome, reply.value, reply.reported_load)
 
-    def _time_unread(self, connection: Connection) -> float:
-        """Seconds for which the reply that was just read stood there, where the loop is late; else 0.
+    def _is_loop_late(self) -> bool:
+        """Whether the system is to be asked for how long something stood there before it was looked at.
 
-        Counted as its server's, they made sound servers look slow: attempts behind a stall waited longer.
+        Counted as a server's, that time made a sound one look slow: attempts behind a stall waited longer.
         """
-        if self.timers.lateness(self.clock()) < MIN_LOOP_LATENESS:
-            return 0.0
-        return input_age(connection.sock)
+        return self.timers.lateness(self.clock()) >= MIN_LATENESS
 
     def _on_connection_ended(self, connection: Connection, failure: Exception | None) -> None:
         """End the attempt on a connection that ended, by how far the attempt had come.
@@ -432,7 +434,8 @@
         in a row ejected a sound server, and the others were overloaded. A second call does nothing.
         """
         if isinstance(failure, DoubtfulReply):
-            on_doubtful_reply(connection.endpoint, failure.cause, self.clock())
+            attempt = connection.pending.attempt if connection.pending is not None else None
+            on_doubtful_reply(connection.endpoint, attempt, failure.cause, self.clock())
             if failure.concerns_all:
                 self._close_idle(connection.endpoint)
         elif failure is not None and not _is_expected(failure):
--- a/gaugehinge/net/connection_reuse.py
+++ b/gaugehinge/net/connection_reuse.py
@@ -12,21 +12,24 @@
 DOUBT_TIME = 1.0  # seconds for which a retry must not meet the same doubt on a used connection
 
 
-def on_doubtful_reply(endpoint: ServerPool, cause: DoubtCause, now: float) -> None:
+def on_doubtful_reply(endpoint: ServerPool, attempt: Attempt | None, cause: DoubtCause, now: float) -> None:
     """Let retries go on new connections for DOUBT_TIME, and all attempts where replies are alike."""
     endpoint.doubted_until = now + DOUBT_TIME
     endpoint.repeats_replies |= cause is DoubtCause.REPEATED
+    if cause is DoubtCause.ENDING and attempt is not None:
+        endpoint.has_ambiguous_receipts |= attempt.operation.is_write
 
 
 def may_reuse(endpoint: ServerPool, attempt: Attempt, now: float) -> bool:
     """Whether an attempt may go on a used connection.
 
-    Where the replies of a server are alike, a write that may not be repeated could only be called failed.
+    Where replies are alike, or those to writes end as others begin, a write that may not be repeated could
+    only be called failed.
     """
     if not endpoint.doubted_until:
         return True
     is_once_only = attempt.operation.traffic_type.effect is Effect.NON_IDEMPOTENT
-    if endpoint.repeats_replies and is_once_only:
+    if is_once_only and (endpoint.repeats_replies or endpoint.has_ambiguous_receipts):
         return False
     if now >= endpoint.doubted_until:
         return True
--- a/gaugehinge/net/response_endings.py
+++ b/gaugehinge/net/response_endings.py
@@ -9,7 +9,7 @@
 from .response_memory import ends_in_response_start
 
 # Responses. Two doubts within so many end the reuse of connections, and so many ordinary endings in a row
-# begin it again.
+# begin it again: two of 18 responses are in doubt at most, in whatever order they come.
 ENDINGS_LOOKED_AT = 16
 
 
--- a/gaugehinge/net/response_memory.py
+++ b/gaugehinge/net/response_memory.py
@@ -15,8 +15,12 @@
 
 MAX_RESPONSES = 128  # with more the memory takes too many new responses for earlier ones: the connection ends
 MAX_FILL = len(RESPONSE_START) - 1  # bytes of another response's start that are not recognised as such
+PARTS_OF_START = tuple(RESPONSE_START[:length] for length in range(1, MAX_FILL + 1))
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})[^\r\n]*")
-HEADER_LINE = re.compile(rb"[\w-]+:[^\r\n]*")
+TOKEN = rb"[!#$%&'*+.^`|~\w-]"  # of a header's name, as RFC 9110 has it
+HEADER_LINE = re.compile(rb"(?:%b+:|[ \t])[^\n]*" % TOKEN)  # or the rest of a folded one
+CUT_HEADER_LINE = re.compile(rb"%b*(?::[^\n]*)?|[ \t][^\n]*" % TOKEN)
+CUT_STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3} [\t -~\x80-\xff]*")  # cut within its reason
 LENGTH_LINE = re.compile(rb"(?i)\r?\ncontent-length:[ \t]*(\d+)")
 PRINTABLE = re.compile(rb"[\t -~]*")
 
@@ -92,14 +96,16 @@
 def _is_head(data: bytes, is_whole: bool) -> bool:
     """Whether bytes are a response's head, or the beginning of one where it is cut."""
     lines = [line.removesuffix(b"\r") for line in data.split(b"\n")]
-    last = [] if is_whole else [lines.pop()]
-    return (
-        all(PRINTABLE.fullmatch(line) for line in last)
-        and (not lines or STATUS_LINE.fullmatch(lines[0]) is not None)
-        and all(HEADER_LINE.fullmatch(line) for line in lines[1:])
-    )
+    if not is_whole:
+        cut_line = lines.pop()
+        form = CUT_HEADER_LINE if lines else CUT_STATUS_LINE
+        if not (PRINTABLE.fullmatch(cut_line) or form.fullmatch(cut_line)):
+            return False
+    if lines and STATUS_LINE.fullmatch(lines[0]) is None:
+        return False
+    return all(HEADER_LINE.fullmatch(line) for line in lines[1:])
 
 
 def ends_in_response_start(body: bytes) -> bool:
     """Whether the last bytes of a body may be the first ones of another response."""
-    return any(body.endswith(RESPONSE_START[:length]) for length in range(1, MAX_FILL + 1))
+    return body.endswith(PARTS_OF_START)
--- a/gaugehinge/net/sockets.py
+++ b/gaugehinge/net/sockets.py
@@ -18,6 +18,7 @@
 
 TCP_INFO_SIZE = 160  # bytes of struct tcp_info of linux/tcp.h up to its counts of segments
 BACKLOG_LENGTH_OFFSET = 24  # in that of a listener: connections not accepted yet
+LAST_ACKNOWLEDGED_OFFSET = 56  # in that: milliseconds since the last acknowledgement came
 LAST_DATA_RECEIVED_OFFSET = 52  # in that: milliseconds since the last data came
 DATA_SEGMENTS_OFFSET = 152  # in that: segments with data that came
 MILLISECONDS = 1000.0
@@ -171,6 +172,11 @@
     return _input_age(_tcp_info(sock))
 
 
+def acknowledgement_age(sock: socket.socket) -> float:
+    """Seconds since the peer acknowledged something, on a new connection its beginning; 0: not told."""
+    return _field(_tcp_info(sock), LAST_ACKNOWLEDGED_OFFSET) / MILLISECONDS
+
+
 def backlog_length(listening: socket.socket) -> int:
     """How many connections a listener has not accepted yet; 0 where the system does not tell."""
     return _field(_tcp_info(listening), BACKLOG_LENGTH_OFFSET)
--- a/gaugehinge/net/timer_queue.py
+++ b/gaugehinge/net/timer_queue.py
@@ -17,6 +17,7 @@
 from loguru import logger
 
 LAG_SAMPLE_INTERVAL = 0.05  # seconds between two measures of the lag, also with nothing due
+MIN_LATENESS = 0.02  # seconds; with less the loop counts as punctual
 LAG_DECAY = 0.99  # for each sample: a long lag is remembered for some seconds
 MAX_LAG = 0.6  # seconds; a longer stall is no measure of the next one
 MIN_CANCELLED_TO_COMPACT = 64  # with fewer cancelled timers the heap is not worth compacting
@@ -102,6 +103,11 @@
         """Seconds by which the loop is late, or was at the last sample."""
         return max(self.current_lag, now - self._next_sample_at)
 
+    def punctual_at(self, now: float) -> float:
+        """The last time at which the loop is known to have been punctual."""
+        lateness = self.lateness(now)
+        return now if lateness < MIN_LATENESS else now - lateness - LAG_SAMPLE_INTERVAL
+
     async def run(self) -> None:
         """Call timers as they fall due, until cancelled."""
         self._next_sample_at = self.clock() + LAG_SAMPLE_INTERVAL
--- a/gaugehinge/store/atomic_file.py
+++ b/gaugehinge/store/atomic_file.py
@@ -37,10 +37,10 @@
         while True:
             descriptor = os.open(self._part, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, OWNER_ONLY)
             try:
-                fcntl.flock(descriptor, fcntl.LOCK_EX)
-                with suppress(FileNotFoundError):
-                    if os.path.samestat(os.fstat(descriptor), self._part.stat()):
-                        return descriptor
+                with suppress(OSError):  # a file system that knows no locks
+                    fcntl.flock(descriptor, fcntl.LOCK_EX)
+                if _is_still(descriptor, self._part):
+                    return descriptor
             except BaseException:
                 os.close(descriptor)
                 raise
@@ -55,9 +55,17 @@
 
 def _remove_unless_locked(part: Path) -> None:
     """Raises OSError: it is being written, or has gone."""
-    descriptor = os.open(part, os.O_RDONLY)
+    descriptor = os.open(part, os.O_RDWR)
     try:
         fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        part.unlink()
+        if _is_still(descriptor, part):  # else its writer has finished it, and may have begun the next one
+            part.unlink()
     finally:
         os.close(descriptor)
+
+
+def _is_still(descriptor: int, path: Path) -> bool:
+    """Whether a path leads to the file that is open."""
+    with suppress(FileNotFoundError):
+        return os.path.samestat(os.fstat(descriptor), path.stat())
+    return False
--- a/tests/test_ambiguous_endings.py
+++ b/tests/test_ambiguous_endings.py
@@ -81,12 +81,12 @@
         return 200, "", value_for(headers["x-txn"]) + b"HTTP"
 
     async def main():
-        async with fleet(tmp_path, [Cache("miss")]) as made:
+        async with fleet(tmp_path, [Cache("miss") for _ in range(3)]) as made:
             made.origin.reply = reply
             failures = []
 
-            async def use(client, name):
-                for number in range(rounds):
+            async def use(client, name, numbers):
+                for number in numbers:
                     ident = f"{name}-{number}"
                     labels = KINDS[kind].format(ident)
                     words = ("KV.GET", name, ident, labels), ("KV.SET", name, ident, labels, "new")
@@ -97,9 +97,12 @@
                     else:
                         assert answer == bulk(value_for(ident) + b"HTTP")
 
+            connected = {f"c{number}": await made.client() for number in range(clients)}
+            for name, client in connected.items():  # one by one: a server that has answered nothing takes few
+                await use(client, name, [0])
             async with trio.open_nursery() as nursery:
-                for number in range(clients):
-                    nursery.start_soon(use, await made.client(), f"c{number}")
+                for name, client in connected.items():
+                    nursery.start_soon(use, client, name, range(1, rounds))
             again = len(made.origin.seen) - clients * rounds
             assert again <= (0 if kind == "once" else clients)
             assert len(failures) <= (clients if kind == "once" else 0)
--- a/tests/test_late_responses.py
+++ b/tests/test_late_responses.py
@@ -101,6 +101,23 @@
     assert not wrong
 
 
+@pytest.mark.parametrize(
+    "header",
+    [
+        b"X.Trace: 1",
+        b"X!A: b",
+        b"X-A: b\r\n folded",
+        b"X-Pressure: 1\r2",
+        b"X-Pressure: \xff\x00",
+        b"X-Name: \xc3",
+    ],
+)
+def test_a_copy_with_an_unusual_header_within_a_response_gives_no_other_response(header):
+    copy, own = http(200, b"value of k1", header + b"\r\n"), http(200, b"another value of k2" + b"w" * 200)
+    found = {outcome_of(copy, own[:cut] + copy + own[cut:], 1000) for cut in range(1, len(own))}
+    assert found <= {"lost", "waits", outcome_of(copy, own, 1000)}
+
+
 @pytest.mark.parametrize("piece", [1, 1000], ids=["apart", "together"])
 def test_a_copy_within_the_last_bytes_of_a_response_gives_no_other_response(piece):
     """The first bytes of the copy complete the value, before more of it has come."""
--- a/tests/test_listener_backlog.py
+++ b/tests/test_listener_backlog.py
@@ -1,5 +1,9 @@
 """Requests that stood in the listener's backlog while all places were taken."""
 
+import socket
+import threading
+import time
+
 import pytest
 import trio
 
@@ -128,3 +132,30 @@
                 assert await client.answer() in (b"$5\r\nof k1\r\n", BUSY)
 
     run(scene)
+
+
+@pytest.mark.parametrize("in_pieces", [False, True], ids=["two requests", "a request in pieces"])
+def test_what_came_first_while_the_loop_stood_is_not_begun_behind_its_time(tmp_path, in_pieces):
+    """No limit is in the way here: the connections wait for the loop alone."""
+
+    def send_slowly(port: int) -> None:
+        labels = b"c=once,t=acme,d=300"
+        request = b"*5\r\n" + b"".join(map(bulk, [b"KV.SET", b"k1", b"first", labels, b"new"]))
+        cut = 20 if in_pieces else len(request)
+        with socket.create_connection(("127.0.0.1", port)) as sock:
+            sock.sendall(request[:cut])
+            time.sleep(0.4)
+            sock.sendall(request[cut:] or request.replace(b"first", b"other"))
+            sock.recv(4096)
+
+    async def scene():
+        async with fleet(tmp_path) as made:
+            await trio.sleep(0.2)
+            client = threading.Thread(target=send_slowly, args=(made.port,))
+            client.start()
+            time.sleep(0.5)  # the router's loop is this test's
+            await trio.to_thread.run_sync(client.join)
+            ran = [command[2] for cache in made.caches for command in cache.commands]
+            assert b"first" not in ran
+
+    run(scene)
--- a/tests/test_own_lag.py
+++ b/tests/test_own_lag.py
@@ -240,6 +240,39 @@
     trio.run(scene)
 
 
+@pytest.mark.parametrize("step", ["the decision", "the connection"])
+def test_a_stall_before_the_request_is_written_is_no_latency_of_its_server(tmp_path, monkeypatch, step):
+    """It stands behind the decision, or as the connection comes up."""
+    durations = []
+
+    async def scene():
+        async with fleet(tmp_path, settings=THROUGH) as made:
+            client, pool = await made.client(), made.service.pool
+            ended, send = pool.on_attempt_ended, pool.send
+
+            def note(attempt, outcome, elapsed, *rest):
+                durations.append(elapsed)
+                ended(attempt, outcome, elapsed, *rest)
+
+            def send_late(*arguments):
+                if step == "the decision":
+                    stall(0.3)
+                send(*arguments)
+                if step == "the connection":
+                    made.service.pool.nursery.start_soon(stand)
+
+            async def stand():
+                await trio.lowlevel.checkpoint()
+                stall(0.3)
+
+            monkeypatch.setattr(pool, "on_attempt_ended", note)
+            monkeypatch.setattr(pool, "send", send_late)
+            assert await client.get() == bulk(b"of k1")
+
+    trio.run(scene)
+    assert max(durations) < 0.1
+
+
 @pytest.mark.parametrize("rest", [REPLY, REPLY[:-4]], ids=["whole", "a part"])
 def test_a_reply_that_stands_unread_is_taken_at_the_deadline_though_its_task_gets_no_turn(monkeypatch, rest):
     sent, turn = trio.Event(), trio.Event()
--- a/tests/test_store_files.py
+++ b/tests/test_store_files.py
@@ -1,5 +1,6 @@
 """Store files: verification, corruption, snapshots, locks, other versions, full disks, kills, commands."""
 
+import errno
 import fcntl
 import json
 import os
@@ -19,6 +20,7 @@
 from gaugehinge.recovery.snapshot import Kept, SnapshotFile
 from gaugehinge.store import connection, schema
 from gaugehinge.store.async_store import AsyncStore
+from gaugehinge.store.atomic_file import AtomicFile
 from gaugehinge.store.crash_test import kill_writer_once
 from gaugehinge.store.errors import (
     DiskFullError,
@@ -226,6 +228,32 @@
     assert [file.name for file in tmp_path.iterdir()] == ["snapshot"]
 
 
+def test_a_reader_that_waits_for_a_parts_lock_leaves_the_next_one_of_that_name(tmp_path, monkeypatch):
+    """Its writer finished the first part, and is amid the second one, as the reader gets the lock."""
+    writer, reader = AtomicFile(str(tmp_path / "file")), AtomicFile(str(tmp_path / "file"))
+    part, real = writer._part, fcntl.flock
+
+    def write_next(*arguments):
+        monkeypatch.undo()
+        part.rename(tmp_path / "file")
+        part.write_bytes(b"the second")
+        real(*arguments)
+
+    part.write_bytes(b"the first")
+    monkeypatch.setattr(fcntl, "flock", write_next)
+    reader.remove_abandoned_parts()
+    assert part.read_bytes() == b"the second"
+
+
+def test_a_file_is_replaced_where_the_file_system_knows_no_locks(tmp_path, monkeypatch):
+    def refuse(*arguments):
+        raise OSError(errno.ENOLCK, "no locks")
+
+    monkeypatch.setattr(fcntl, "flock", refuse)
+    AtomicFile(str(tmp_path / "file")).replace(b"content")
+    assert (tmp_path / "file").read_bytes() == b"content"
+
+
 def test_a_part_whose_writer_was_killed_is_removed(tmp_path):
     part = tmp_path / "snapshot.0123abcd.part"
     part.write_bytes(b"half")
