A late copy of an older list of a pushed agent is not taken over

What callers saw: nothing at first; attempts went to a draining server again for 2.05 to 2.24 s (drains are kept), as long as the open poll was held.

Cause: what an agent has counts as told whatever its version, so none was compared; a late copy of an older response on the connection of the watch was taken for the list.

Evidence: tests/test_copied_lists.py: [agent] failed before. The same tests show that copies and cuts in the last bytes of a list hide and undo nothing.

Change: one process counts its versions up, so a lower one than came before on an agent's connection is a copy; the list is asked for again on a new connection. A service of many replicas is followed as before.

--- a/gaugehinge/net/discovery.py
+++ b/gaugehinge/net/discovery.py
@@ -95,6 +95,7 @@
 
     async def _run_watch(self, scope: trio.CancelScope) -> None:
         watch = Watch(self.address, self.timers)
+        watch.drops_late_copies = self.local_agent
         try:
             with scope:
                 await self._watch_and_reconnect(watch, scope)
@@ -230,7 +231,7 @@
 
         An older list, from a replica of the service that lags, would undo what a newer one told: a draining
         server came back by it. A service that counts its versions anew sends the same again, and is believed
-        then.
+        then. What an agent has counts as told whatever its version.
         """
         if self.newest_version is None or update.rev >= self.newest_version or self.local_agent:
             self._older_full_list_seen = False
--- a/gaugehinge/net/discovery_watch.py
+++ b/gaugehinge/net/discovery_watch.py
@@ -17,6 +17,7 @@
 
 ENDPOINTS_PATH = "/discovery/hosts"
 MAX_LIST_BYTES = 4 << 20
+NO_VERSION = -1  # below all versions
 
 
 class PollError(Exception):
@@ -36,6 +37,8 @@
         self.timers = timers
         self._sock: socket.socket | None = None
         self._exchange = HttpExchange(MAX_LIST_BYTES)
+        self._newest_version = NO_VERSION  # of the lists that came on this connection
+        self.drops_late_copies = False  # where one process answers, and not any replica of a service
 
     async def poll(self, target: str, time_limit: float) -> EndpointListUpdate:
         """The list that a GET of `target` brings within `time_limit` seconds.
@@ -44,16 +47,26 @@
             PollError: the poll failed; the connection is closed.
             SettingsError: the answer is no endpoint list; the connection stays.
         """
-        body: bytes | None = None
+        update: EndpointListUpdate | None = None
         with self.timers.timeout_scope(time_limit) as scope:
-            body = await self._get_body(target)
-        if scope.cancelled_caught or body is None:
+            update = await self._get_list(target)
+        if scope.cancelled_caught or update is None:
             self.close()
             raise PollTimeoutError(f"no answer within {time_limit} s")
-        try:
-            return read_endpoint_list(parse_json(body.decode()))
-        except UnicodeDecodeError as error:
-            raise SettingsError("the whole: not UTF-8") from error
+        return update
+
+    async def _get_list(self, target: str) -> EndpointListUpdate:
+        """The list that a GET brings; made again on a new connection where it is a late copy of an older one.
+
+        One process counts its versions up: a lower one than came before on a connection is a copy.
+        """
+        while True:
+            body = await self._get_body(target)
+            update = _read_list(body)
+            if not self.drops_late_copies or update.rev >= self._newest_version:
+                self._newest_version = update.rev
+                return update
+            self.close()
 
     async def _get_body(self, target: str) -> bytes:
         response = await self._get_with_retry(target)
@@ -79,6 +92,7 @@
         if self._sock is None:
             self._sock = tcp(self.address)
             self._exchange = HttpExchange(MAX_LIST_BYTES)
+            self._newest_version = NO_VERSION
             await connect(self._sock, self.address)
         host = f"{self.address[0]}:{self.address[1]}".encode()
         await send_all(self._sock, self._exchange.request("GET", target, [(b"Host", host)]))
@@ -92,3 +106,11 @@
         if self._sock is not None:
             shut(self._sock)
         self._sock = None
+
+
+def _read_list(body: bytes) -> EndpointListUpdate:
+    """Raises SettingsError."""
+    try:
+        return read_endpoint_list(parse_json(body.decode()))
+    except UnicodeDecodeError as error:
+        raise SettingsError("the whole: not UTF-8") from error
--- a/gaugehinge/net/response_memory.py
+++ b/gaugehinge/net/response_memory.py
@@ -14,12 +14,14 @@
 from .reply_memory import ReplyMemory
 
 MAX_RESPONSES = 128  # with more the memory takes too many new responses for earlier ones: the connection ends
-MAX_FILL = len(RESPONSE_START) - 1  # bytes of another response's start that are not recognised as such
-PARTS_OF_START = tuple(RESPONSE_START[:length] for length in range(1, MAX_FILL + 1))
+MAX_FILL = (
+    6  # bytes of another response's start that are not recognised as such: all but one of RESPONSE_START
+)
+PARTS_OF_START = (b"H", b"HT", b"HTT", b"HTTP", b"HTTP/", b"HTTP/1")  # of RESPONSE_START
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})[^\r\n]*")
-TOKEN = rb"[!#$%&'*+.^`|~\w-]"  # of a header's name, as RFC 9110 has it
-HEADER_LINE = re.compile(rb"(?:%b+:|[ \t])[^\n]*" % TOKEN)  # or the rest of a folded one
-CUT_HEADER_LINE = re.compile(rb"%b*(?::[^\n]*)?|[ \t][^\n]*" % TOKEN)
+# A name, as RFC 9110 has it, and a value; or the rest of a folded line.
+HEADER_LINE = re.compile(rb"(?:[!#$%&'*+.^`|~\w-]+:|[ \t])[^\n]*")
+CUT_HEADER_LINE = re.compile(rb"[!#$%&'*+.^`|~\w-]*(?::[^\n]*)?|[ \t][^\n]*")
 CUT_STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3} [\t -~\x80-\xff]*")  # cut within its reason
 LENGTH_LINE = re.compile(rb"(?i)\r?\ncontent-length:[ \t]*(\d+)")
 PRINTABLE = re.compile(rb"[\t -~]*")
--- a/gaugehinge/net/sockets.py
+++ b/gaugehinge/net/sockets.py
@@ -156,13 +156,10 @@
     came_at_once: bool  # in one segment; else the first of them may have come earlier
 
 
-NO_UNREAD_INPUT = UnreadInput(0.0, True)
-
-
 def unread_input(sock: socket.socket) -> UnreadInput:
     """What stands unread on a connection of which nothing was read."""
     if silent(sock):
-        return NO_UNREAD_INPUT
+        return UnreadInput(0.0, came_at_once=True)
     info = _tcp_info(sock)
     return UnreadInput(_input_age(info), _field(info, DATA_SEGMENTS_OFFSET) <= 1)
 
--- /dev/null
+++ b/tests/test_copied_lists.py
@@ -0,0 +1,264 @@
+"""Copies of responses of discovery and of the control plane: what of them is followed."""
+
+import json
+import re
+from contextlib import suppress
+from functools import partial
+from typing import NamedTuple
+
+import httpx
+import msgspec
+import pytest
+import trio
+
+from gaugehinge.hosted.control_plane_client import ControlPlaneClient
+from gaugehinge.hosted.errors import FeedError
+from gaugehinge.hosted.tenant_registry import TenantRegistry
+from gaugehinge.net.discovery import DiscoveryClient
+from gaugehinge.net.timer_queue import TimerQueue
+from gaugehinge.tenancy.feed import Feed, Report, TenantRow
+
+NEWEST = 3
+PAUSE = 0.02  # seconds between calls of the control plane
+GAP = 0.05  # seconds, over which the network holds up what follows a cut
+LEFTS = [1, 6, 14]
+
+
+def http(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+class Heard(NamedTuple):
+    rev: int
+    state: str
+    at: float
+
+
+class Discovery:
+    """Long polls on a list whose one server drains with each even version; one response is tampered with."""
+
+    def __init__(self, tamper, at_version: int) -> None:
+        self.tamper, self.at_version = tamper, at_version
+        self.version, self.tampered_at = 1, 0.0
+        self.sent: list[bytes] = []
+
+    def body(self, index: int | None) -> bytes:
+        state = "draining" if self.version % 2 == 0 else "ready"
+        target = {"uid": "s-1", "endpoint": "127.0.0.1:9", "az": "a", "model": "std", "pod_group": 0}
+        target |= {"state": state, "capacity_hint": 1.0, "boot_ms": 0}
+        targets = [] if index == self.version else [target]
+        return json.dumps({"rev": self.version, "all": index is None, "targets": targets}).encode() + b"\n"
+
+    async def serve(self, stream) -> None:
+        """Until the client resets the connection."""
+        with suppress(trio.BrokenResourceError):
+            await self.answer_all(stream)
+
+    async def answer_all(self, stream) -> None:
+        buffer = b""
+        while True:
+            while b"\r\n\r\n" not in buffer:
+                data = await stream.receive_some()
+                if not data:
+                    return
+                buffer += data
+            head, _, buffer = buffer.partition(b"\r\n\r\n")
+            asked = re.search(rb"index=(\d+)&wait=(\d+)", head)
+            index, wait = (int(asked[1]), int(asked[2]) / 1000) if asked else (None, 0.0)
+            if self.tamper == "older" and index == self.at_version and not self.tampered_at:
+                self.tampered_at = trio.current_time()
+                await stream.send_all(self.sent[0])
+            with trio.move_on_after(wait):
+                while index == self.version:
+                    await trio.sleep(0.01)
+            own = http(self.body(index))
+            self.sent.append(own)
+            if self.version == self.at_version and self.tamper != "older" and not self.tampered_at:
+                self.tampered_at = trio.current_time()
+                for part in self.tamper(own, http(self.body(None)) if len(self.sent) == 1 else self.sent[0]):
+                    await stream.send_all(part)
+                    await trio.sleep(GAP)
+            else:
+                await stream.send_all(own)
+
+
+def within(left: int, together: bool, own: bytes, copy: bytes) -> list[bytes]:
+    """A copy within the last bytes; the network cuts where it has filled the response."""
+    first, rest = own[:-left] + copy[:left], copy[left:] + own[-left:]
+    return [first + rest] if together else [first, rest]
+
+
+def cut(left: int, own: bytes, copy: bytes) -> list[bytes]:
+    """Nothing follows a cut list."""
+    return [own[:-left]]
+
+
+def cut_and_copy(left: int, own: bytes, copy: bytes) -> list[bytes]:
+    """A whole copy follows a cut list."""
+    return [own[:-left], copy]
+
+
+async def follow(discovery: Discovery, local_agent: bool = False) -> list[Heard]:
+    """What a client hears until the newest version, and for three seconds after that."""
+    heard: list[Heard] = []
+
+    def on_update(update) -> None:
+        for target in update.targets:
+            heard.append(Heard(update.rev, target.entry.state.name, trio.current_time()))
+
+    async with trio.open_nursery() as nursery:
+        timers = TimerQueue(trio.current_time)
+        nursery.start_soon(timers.run)
+        [listener] = await nursery.start(partial(trio.serve_tcp, discovery.serve, 0, host="127.0.0.1"))
+        address = listener.socket.getsockname()
+        client = DiscoveryClient(
+            nursery,
+            timers,
+            address,
+            None,
+            on_update,
+            lambda: client.start_watch(),
+            drain_grace=1.0,
+            local_agent=local_agent,
+        )
+        client.start_watch()
+        with trio.move_on_after(20):
+            while True:
+                await trio.sleep(0.3)
+                if heard and heard[-1].rev == discovery.version:
+                    if discovery.version == NEWEST:
+                        break
+                    discovery.version += 1
+            await trio.sleep(3.0)
+        nursery.cancel_scope.cancel()
+    return heard
+
+
+async def follow_all(cases, local_agent: bool = False):
+    found = {}
+
+    async def one(name, tamper, at_version):
+        discovery = Discovery(tamper, at_version)
+        found[name] = (await follow(discovery, local_agent), discovery)
+
+    async with trio.open_nursery() as nursery:
+        for name, tamper, at_version in cases:
+            nursery.start_soon(one, name, tamper, at_version)
+    return found
+
+
+CASES = [
+    (f"{kind} {left} at {version}", tamper, version)
+    for left in LEFTS
+    for version in (1, 2, 3)
+    for kind, tamper in (
+        ("apart", partial(within, left, False)),
+        ("together", partial(within, left, True)),
+        ("cut", partial(cut, left)),
+        ("cut and copy", partial(cut_and_copy, left)),
+    )
+]
+
+
+def states_ok(heard) -> bool:
+    return all(each.state == ("UP" if each.rev % 2 else "DRAINING") for each in heard)
+
+
+@pytest.mark.parametrize("local_agent", [False, True], ids=["service", "agent"])
+def test_a_list_that_ends_in_a_copy_or_is_cut_there_hides_no_change(local_agent):
+    found = trio.run(follow_all, CASES, local_agent)
+    for name, (heard, discovery) in found.items():
+        versions = [each.rev for each in heard]
+        after = [each.at - discovery.tampered_at for each in heard if each.rev >= discovery.at_version]
+        assert discovery.tampered_at, name
+        assert versions == sorted(versions) and versions[-1] == NEWEST, name
+        assert states_ok(heard), name
+        assert min(after) < 6.0, name
+
+
+@pytest.mark.parametrize("local_agent", [False, True], ids=["service", "agent"])
+def test_a_late_copy_of_an_older_list_undoes_no_change(local_agent):
+    """The copy of the first list answers a poll by the second or the third version."""
+    found = trio.run(follow_all, [("at 2", "older", 2), ("at 3", "older", 3)], local_agent)
+    for name, (heard, discovery) in found.items():
+        versions = [each.rev for each in heard]
+        assert discovery.tampered_at, name
+        assert versions == sorted(versions) and versions[-1] == NEWEST, name
+
+
+class ControlPlane:
+    """Tells two tenants at revision 5; tenant b is gone by revision 6. Sends a copy behind one answer."""
+
+    def __init__(self, place: str) -> None:
+        """`place` of the copy of the first answer beside the second or the third one."""
+        self.place, self.revision = place, 5
+        self.sent: list[bytes] = []
+
+    def feed(self, since: int) -> bytes:
+        if not since:
+            rows = [row("a", 1), row("b", 2)][: 7 - self.revision]
+            return msgspec.json.encode(Feed("s", self.revision, True, rows))
+        gone = [2] if since < self.revision else []
+        return msgspec.json.encode(Feed("s", self.revision, False, [], gone))
+
+    async def serve(self, stream) -> None:
+        """Until the client resets the connection."""
+        with suppress(trio.BrokenResourceError):
+            await self.answer_all(stream)
+
+    async def answer_all(self, stream) -> None:
+        buffer = b""
+        while True:
+            head, separator, rest = buffer.partition(b"\r\n\r\n")
+            length = re.search(rb"(?i)content-length: (\d+)", head)
+            if not separator or len(rest) < int(length[1]):
+                data = await stream.receive_some()
+                if not data:
+                    return
+                buffer += data
+                continue
+            body, buffer = rest[: int(length[1])], rest[int(length[1]) :]
+            report = msgspec.json.decode(body, type=Report)
+            if self.place == "next" and len(self.sent) == 2:
+                await stream.send_all(self.sent[0])
+            with trio.move_on_after(report.max_wait):
+                while report.known_revision == self.revision:
+                    await trio.sleep(0.01)
+            own = http(self.feed(report.known_revision))
+            self.sent.append(own)
+            second = len(self.sent) == 2
+            await stream.send_all(own + self.sent[0] if second and self.place == "behind" else own)
+            if second and self.place == "idle":
+                await trio.sleep(0.005)
+                await stream.send_all(self.sent[0])
+
+
+def row(name: str, incarnation: int) -> TenantRow:
+    return TenantRow(name, incarnation, incarnation, "active", 1.0, 100.0)
+
+
+async def follow_feeds(place: str) -> list[tuple[int, list[int]]]:
+    """What a registry holds after each of eight calls."""
+    control_plane, registry, held = ControlPlane(place), TenantRegistry(), []
+    async with trio.open_nursery() as nursery:
+        [listener] = await nursery.start(partial(trio.serve_tcp, control_plane.serve, 0, host="127.0.0.1"))
+        port = listener.socket.getsockname()[1]
+        async with httpx.AsyncClient(base_url=f"http://127.0.0.1:{port}", trust_env=False) as http_client:
+            client = ControlPlaneClient(http_client)
+            for number in range(8):
+                with suppress(FeedError):
+                    report = Report("r", "run", "s", registry.revision, max_wait=0.3)
+                    registry.follow(await client.fetch_feed(report, 0.5))
+                held.append((registry.revision, sorted(registry.by_incarnation)))
+                if number == 0:
+                    control_plane.revision = 6
+                await trio.sleep(PAUSE)
+        nursery.cancel_scope.cancel()
+    return held
+
+
+@pytest.mark.parametrize("place", ["none", "behind", "idle", "next"])
+def test_a_copy_of_the_whole_feed_brings_no_tenant_back(place):
+    """The tenant is gone by the second answer; the first one comes once more behind that."""
+    held = trio.run(follow_feeds, place)
+    assert held[1:] == [(6, [1])] * 7
