A port that a test is given stays reserved until its server listens there

Cause: `free_port` and `Ports.free` bound a port, closed it and told its number; until the server bound it a test of another process could find the same one free.

Now the socket of the look is kept. It is bound with no SO_REUSEADDR, so beside no other socket, and only then gets that option: a server that sets it too (the router, trio, the emulator, hypercorn) binds and listens beside it, all plain binds fail, looks of other processes among them. It never listens, so connects are refused before the server is there and after its end; a UDP one is connected to a port that sends nothing, so datagrams go to the server or are refused.

The emulator's UDP link sets SO_REUSEADDR; two tests that bound a port that was looked at bind port 0, or beside the reservation. A search of the tests and the program finds no other bind than at port 0, beside a reservation, or in a company's own network, which its guard holds.

--- a/gaugehinge/emulator/link.py
+++ b/gaugehinge/emulator/link.py
@@ -460,5 +460,6 @@
 def _datagrams(at: Address) -> socket.socket:
     raw = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     raw.setblocking(False)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # beside the reservation of its port
     raw.bind(at)
     return raw
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -12,6 +12,7 @@
 import trio
 import trio.testing
 
+from gaugehinge.emulator.ports import reserve
 from gaugehinge.net.configuration import read_configuration
 from gaugehinge.net.resp import MAX_REPLY_BYTES, Parser, bulk
 from gaugehinge.net.service import Service
@@ -151,10 +152,11 @@
 
 
 def free_port(kind=socket.SOCK_STREAM) -> int:
-    for number in PORT_COUNT:
+    """A free port at 127.0.0.1, reserved for a server that sets SO_REUSEADDR."""
+    for number in itertools.islice(PORT_COUNT, len(PORTS)):
         port = PORTS[number % len(PORTS)]
-        with socket.socket(socket.AF_INET, kind) as probe, suppress(OSError):
-            probe.bind(("127.0.0.1", port))
+        with suppress(OSError):
+            reserve(["127.0.0.1"], port, kind)
             return port
     raise AssertionError("no port is free")
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -185,7 +185,7 @@
                 ports, raws, ats = Ports(72), [], []
                 for _ in range(2):
                     raw = trio.socket.socket(type=socket.SOCK_DGRAM)
-                    await raw.bind((HOST, ports.free([HOST], socket.SOCK_DGRAM)))
+                    await raw.bind((HOST, 0))
                     raws.append(raw)
                     ats.append((HOST, ports.free([HOST], socket.SOCK_DGRAM)))
                 links = Links(nursery, 1, lambda *change: None)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -872,6 +872,7 @@
             router = made.service.dispatcher.router
             udp = socket.SOCK_DGRAM
             with socket.socket(type=udp) as stranger, socket.socket(type=udp) as friend:
+                friend.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # beside its reservation
                 friend.bind(("127.0.0.1", peer))
                 stamp = made.service.gossip.stamp
                 stranger.sendto(stamp + struct.pack("<f", 3.0), ("127.0.0.1", own))
