The test of taken descriptors waits for the router's own word that it is ready

Cause, as reproduced (the output of those runs was not at hand): both had found the same ports free. The router of one ended with "cannot serve at ...: Address already in use", and the test took the "ready" within "already" for its word that it is ready. It went on with the router of the other run, which listened at that port ("0 at servers" in its kept output), and waited for a call of discovery by a process that had ended, whose /proc/PID/fd is an empty list.

Now the test waits for the line of the router's lifecycle, and a router that ends before it fails the test at once, with its log. The new test holds the port of a router that starts: it fails with the former condition and passes now.

--- a/tests/test_crossings_shutdown.py
+++ b/tests/test_crossings_shutdown.py
@@ -2,9 +2,12 @@
 
 import json
 import os
+import re
 import signal
 import socket
-from contextlib import suppress
+import subprocess
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
 from functools import partial
 from pathlib import Path
 
@@ -601,6 +604,7 @@
 # -- descriptors
 
 
+READY_LINE = r"\bready: \d+ operations in flight"  # of gaugehinge.net.lifecycle
 ROUTER = """
 import os, resource, sys
 from functools import partial
@@ -614,6 +618,54 @@
 """
 
 
+@contextmanager
+def router_process(folder: Path, config: dict, door: str) -> Iterator[subprocess.Popen]:
+    """A router that may use as many descriptors as its configuration says. It logs to `log` there."""
+    path, most = folder / "config.json", config["limits"]["sockets"]
+    path.write_text(json.dumps(config))
+    environment = {**os.environ, "LB_CONFIG": str(path)}
+    place = Path(__file__).parent.parent
+    with (
+        (folder / "log").open("w") as out,
+        children.child("-c", ROUTER, str(most), door, env=environment, stderr=out, cwd=place) as process,
+    ):
+        yield process
+
+
+async def until_ready(process: subprocess.Popen, log: Path) -> None:
+    """Until the router says that it is ready. One that ends instead fails the test, with its log."""
+
+    def is_ready() -> bool:
+        ended = process.poll() is not None  # looked at first: what it says before its end is in the log then
+        text = log.read_text()
+        assert not ended, f"the router ended with {process.returncode}: {text}"
+        return re.search(READY_LINE, text) is not None
+
+    await until(is_ready)
+
+
+def test_a_router_that_finds_its_port_taken_does_not_count_as_ready(tmp_path):
+    """Its message, "Address already in use", has "ready" in it: the test went on with the other's router."""
+
+    async def scene():
+        with socket.create_server(("127.0.0.1", 0)) as other:
+            config = {
+                "listen": f"127.0.0.1:{other.getsockname()[1]}",
+                "discovery": "127.0.0.1:9",
+                "seed": "0a",
+                "limits": {"sockets": 100},
+                "settings": SETTINGS,
+                "known": {"rev": 1, "all": True, "targets": []},
+            }
+            with (
+                router_process(tmp_path, config, "door") as process,
+                pytest.raises(AssertionError, match="ended with 1: .*Address already in use"),
+            ):
+                await until_ready(process, tmp_path / "log")
+
+    run(scene)
+
+
 @pytest.mark.parametrize("door", ["door", "none"])
 @pytest.mark.parametrize("most", [64, 100, 256])
 @pytest.mark.parametrize(
@@ -665,22 +717,9 @@
                 "peer_listen": (own := f"127.0.0.1:{free_port(socket.SOCK_DGRAM)}"),
                 "peers": [own],
             }
-            path, log = tmp_path / "config.json", tmp_path / "log"
-            path.write_text(json.dumps(config))
-            environment = {**os.environ, "LB_CONFIG": str(path)}
-            with (
-                log.open("w") as out,
-                children.child(
-                    "-c",
-                    ROUTER,
-                    str(most),
-                    door,
-                    env=environment,
-                    stderr=out,
-                    cwd=Path(__file__).parent.parent,
-                ) as process,
-            ):
-                await until(lambda: "ready" in log.read_text())
+            log = tmp_path / "log"
+            with router_process(tmp_path, config, door) as process:
+                await until_ready(process, log)
                 seen: list[int] = []
 
                 def count() -> int:
