Checks of secrets that waited behind failed ones end with -BUSY, not as more failures

What callers saw: after the control plane's disk was lost, clients that went on with their former secrets, and all tenants at their address, were kept out of some routers for up to 208 s, also with the new secrets.

Cause: a check was allowed by the failures counted when it came, and its own failure was counted after its hash (argon2, two at a time). All connections that came meanwhile were allowed by the same count and checked; each that failed past the tenth cost their address 10 s.

That the break was this is likely, not shown.

Why it works: whoever has waited for a place among the checks looks at the failures again. At most one check more than the limit can fail, so one address waits for 20 s at most. Fewer wrong secrets are checked than before.

The control plane's own check (admin/authentication.py) has the same order and is left as it is.

--- a/gaugehinge/hosted/authenticator.py
+++ b/gaugehinge/hosted/authenticator.py
@@ -78,17 +78,21 @@
         `pair`: source and credential together. The middle part of a secret is no secret, and bounded by it
         alone, whoever knows it could keep its owner out.
         """
-        now = self.clock()
-        wait = self.attempts.acquire(source, pair, now)
+        wait = self.attempts.acquire(source, pair, self.clock())
         if wait or self._checks.statistics().tasks_waiting >= MAX_WAITING:
-            return b"-BUSY %d\r\n" % max(int(wait * 1000), MIN_RETRY_AFTER)
-        credentials = list(principal.credentials.values()) if principal is not None else []
-        found = await trio.to_thread.run_sync(
-            self.hasher.find_match, secret, credentials, now, limiter=self._checks
-        )
-        if found is None or principal is None:
-            self.attempts.record_failure(source, pair, now)
-            return WRONG
+            return _busy(wait)
+        async with self._checks:
+            # Whoever waited here came before the checks in front were found wrong. Checked regardless, a
+            # crowd with an outdated secret would fail as often at once, and be kept out for minutes.
+            now = self.clock()
+            wait = self.attempts.failure_wait(source, pair, now)
+            if wait:
+                return _busy(wait)
+            credentials = list(principal.credentials.values()) if principal is not None else []
+            found = await trio.to_thread.run_sync(self.hasher.find_match, secret, credentials, now)
+            if found is None or principal is None:
+                self.attempts.record_failure(source, pair, now)
+                return WRONG
         return None
 
     def _remember(self, digest: bytes, ident: str) -> None:
@@ -102,5 +106,9 @@
     return secret.split("_")[1] if secret.count("_") >= 2 else ""
 
 
+def _busy(wait: float) -> bytes:
+    return b"-BUSY %d\r\n" % max(int(wait * 1000), MIN_RETRY_AFTER)
+
+
 def _rejected(reply: bytes) -> Authentication:
     return Authentication(None, "", reply)
--- a/gaugehinge/tenancy/attempt_limiter.py
+++ b/gaugehinge/tenancy/attempt_limiter.py
@@ -52,15 +52,20 @@
 
     def acquire(self, source: str, name: str, now: float) -> float:
         """Count a check and return 0.0 if it is allowed now, else return the seconds until it may be."""
-        failures = max(self._failures.value(index, now) for index in self._counter_indexes(source, name))
-        if failures + 1.0 > FAILURE_BURST:
-            return (failures + 1.0 - FAILURE_BURST) / FAILURE_REFILL_RATE
+        wait = self.failure_wait(source, name, now)
+        if wait:
+            return wait
         checks = self._checks.value(0, now)
         if checks + 1.0 > CHECK_BURST:
             return (checks + 1.0 - CHECK_BURST) / CHECK_REFILL_RATE
         self._checks.add_one(0, now)
         return 0.0
 
+    def failure_wait(self, source: str, name: str, now: float) -> float:
+        """Return the seconds for which earlier failures keep a source or a name out; 0.0: they do not."""
+        failures = max(self._failures.value(index, now) for index in self._counter_indexes(source, name))
+        return max(failures + 1.0 - FAILURE_BURST, 0.0) / FAILURE_REFILL_RATE
+
     def record_failure(self, source: str, name: str, now: float) -> None:
         """Count a check that found a wrong secret."""
         for index in self._counter_indexes(source, name):
--- a/tests/test_hosted.py
+++ b/tests/test_hosted.py
@@ -15,7 +15,7 @@
 from gaugehinge.cli.main import main as command_line
 from gaugehinge.door.door import Door
 from gaugehinge.emulator.ports import Ports
-from gaugehinge.hosted.authenticator import Authenticator
+from gaugehinge.hosted.authenticator import CHECKS, Authenticator
 from gaugehinge.hosted.build import read_secret
 from gaugehinge.hosted.endpoint_overrides import EndpointOverrides
 from gaugehinge.hosted.errors import FeedError, SecretFileError
@@ -29,7 +29,7 @@
 from gaugehinge.rehearsal.hostedplay import CHEAP, Client, hosting
 from gaugehinge.rehearsal.hostedrun import churn
 from gaugehinge.routing.types import EndpointEntry, EndpointState, Tenant
-from gaugehinge.tenancy.attempt_limiter import FAILURE_BURST, AttemptLimiter
+from gaugehinge.tenancy.attempt_limiter import FAILURE_BURST, FAILURE_REFILL_RATE, AttemptLimiter
 from gaugehinge.tenancy.credentials import Credential
 from gaugehinge.tenancy.feed import Feed, TenantRow
 from tests.helper import run
@@ -293,6 +293,30 @@
     run(scene)
 
 
+def test_a_crowd_with_an_outdated_secret_is_not_kept_out_for_each_of_its_connections():
+    async def scene():
+        now, replies = 0.0, []
+        registry = TenantRegistry()
+        secret, credential = CHEAP.issue(now)
+        registry.follow(whole(row(credentials=[credential])))
+        authenticator = Authenticator(registry, CHEAP, AttemptLimiter(1, now), lambda: now)
+
+        async def comes():
+            replies.append((await authenticator.check("s", "acme", "gh_outdated_x"))[2])
+
+        async with trio.open_nursery() as crowd:  # all are there before the first check is over
+            for _ in range(4 * int(FAILURE_BURST)):
+                crowd.start_soon(comes)
+        wrong = [reply for reply in replies if reply.startswith(b"-WRONGPASS")]
+        assert FAILURE_BURST <= len(wrong) < FAILURE_BURST + CHECKS
+        assert all(reply.startswith(b"-BUSY") for reply in replies if reply not in wrong)
+        assert (await authenticator.check("s", "acme", secret))[2].startswith(b"-BUSY")
+        now = CHECKS / FAILURE_REFILL_RATE
+        assert (await authenticator.check("s", "acme", secret))[2] == b"+OK\r\n"
+
+    run(scene)
+
+
 @pytest.mark.parametrize("new_door", [None, Door])
 def test_a_connection_is_one_tenants_and_commands_wait_for_the_answer_to_auth(new_door):
     async def scene():
