--- a/tests/test_late_responses.py
+++ b/tests/test_late_responses.py
@@ -127,6 +127,13 @@
     assert found <= allowed
 
 
+def test_a_copy_that_breaks_off_behind_its_first_bytes_within_a_response_gives_no_other_value():
+    """The response's own bytes go on behind it, and its last ones come later."""
+    copy, own = EARLIER["value"], http(200, b"another value of k2")
+    data = own[:-9] + copy[:3] + own[-9:]
+    assert outcome_of(copy, data, len(own)) in ("lost", outcome_of(copy, own, 1000))
+
+
 @pytest.mark.parametrize(
     "text", [b"HTTP/1.1 200 OK", b"HTTP/1.1 200 OK\r\n\x05", http(200, b"v" * 77), b"GTTP/1.H"]
 )
