A router follows no feed that answers another call than its own

What callers saw: a removed tenant was served again. It lasted: later changes were laid over the older state, so the tenant stood at the newest revision as well. Cause: HTTP/1.1 says nothing in a response of the request that it answers; what followed a response in its segment stood in the library's buffer and was read as the next call's. A whole feed was followed whatever its revision, and a copy of a feed without changes renewed the lease. Change: each call has a number of its own (X-Request-Id), which the control plane's API repeats; a response with another one fails its call, and its connection ends with it, unread. Why it works: the number is random, so no copy has it, on whatever connection it comes. Without a number nothing can stand behind a response on its connection; a copy on another one is of an earlier revision of the same run, and a store is restored between two runs alone. The state never goes back within a run, so changes that the state has already passed only say again what it holds. A header, not a field: earlier control planes refuse reports with unknown fields.

--- a/gaugehinge/admin/app.py
+++ b/gaugehinge/admin/app.py
@@ -7,6 +7,7 @@
 import trio
 from loguru import logger
 from starlette.applications import Starlette
+from starlette.middleware import Middleware
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route as StarletteRoute
@@ -23,6 +24,7 @@
 from .http import json_response, problem_response
 from .openapi import describe
 from .rate_limit import CallerRateLimiter
+from .request_id import RequestIdMiddleware
 from .route import Handler, Route
 
 MAX_OPEN_CALLS = 256  # more are shed before anything is read of them
@@ -49,7 +51,11 @@
         ]
         routes.append(StarletteRoute("/v1/openapi.json", self._openapi, methods=["GET"]))
         routes.append(StarletteRoute("/healthz", self._health, methods=["GET"]))
-        return Starlette(routes=routes, exception_handlers={404: self._no_route, 405: self._no_route})
+        return Starlette(
+            routes=routes,
+            middleware=[Middleware(RequestIdMiddleware)],
+            exception_handlers={404: self._no_route, 405: self._no_route},
+        )
 
     async def _no_route(self, request: Request, error: Exception) -> Response:
         status = getattr(error, "status_code", 404)
--- a/gaugehinge/hosted/control_plane_client.py
+++ b/gaugehinge/hosted/control_plane_client.py
@@ -9,6 +9,7 @@
 import trio
 
 from ..tenancy.feed import Feed, Report
+from ..tenancy.request_id import REQUEST_ID_HEADER, ResponseMatcher, new_request_id
 from .errors import ControlPlaneError, FeedError
 
 FEED_PATH = "/v1/feed"
@@ -17,12 +18,13 @@
 
 
 class ControlPlaneClient:
-    """One connection's worth of calls, with the router's secret."""
+    """Calls with the router's secret, one at a time."""
 
     def __init__(self, http: httpx.AsyncClient, read_secret: Callable[[], str] | None = None) -> None:
         """`http`: with the address and the secret; `read_secret`: reads the secret once more."""
         self.http = http
         self.read_secret = read_secret
+        self._matcher = ResponseMatcher()
 
     async def fetch_feed(self, report: Report, slack: float) -> Feed:
         """Send a report and return the feed that answers it.
@@ -31,7 +33,7 @@
         httpx.HTTPError, msgspec.MsgspecError, FeedError, SecretFileError and ControlPlaneError.
         """
         with trio.move_on_after(CONNECT_TIME + report.max_wait + slack):
-            answer = await self.http.post(FEED_PATH, content=msgspec.json.encode(report))
+            answer = await self._post(msgspec.json.encode(report))
             if answer.status_code == httpx.codes.UNAUTHORIZED and self.read_secret is not None:
                 # A control plane whose disk was lost has none of the secrets. Routers that read theirs at the
                 # start alone would all have to be restarted for a new one, and none be let leave in turn.
@@ -42,3 +44,17 @@
                 raise FeedError("too long")
             return msgspec.json.decode(answer.content, type=Feed)
         raise ControlPlaneError("no answer in time")
+
+    async def _post(self, body: bytes) -> httpx.Response:
+        """Send a report and read the response to it.
+
+        Raises httpx.HTTPError, and FeedError for the response to another call: its body stays unread, and so
+        the connection ends.
+        """
+        request_id = new_request_id()
+        headers = self._matcher.headers(request_id)
+        async with self.http.stream("POST", FEED_PATH, content=body, headers=headers) as response:
+            if not self._matcher.matches(request_id, response.headers.get(REQUEST_ID_HEADER)):
+                raise FeedError("a response to another call")
+            await response.aread()
+        return response
--- a/gaugehinge/hosted/control_plane_watch.py
+++ b/gaugehinge/hosted/control_plane_watch.py
@@ -96,7 +96,7 @@
         try:
             feed = self.snapshot.load()
             if feed is not None:
-                self._carry_out(self.registry.follow(feed))
+                self._carry_out(self.registry.restore(feed))
                 told = f"revision {feed.revision}, {len(feed.tenants)} tenants"
                 logger.info("tenants as in the snapshot: {}", told)
         except FeedError as error:
@@ -166,6 +166,7 @@
 
     def _follow(self, feed: Feed, asked_at: float) -> None:
         """Carry out a feed. Raises FeedError."""
+        self.registry.reject_outdated(feed)  # before a part takes note of it
         for part in self.parts:
             feed = part.filter_feed(feed)
         self._carry_out(self.registry.follow(feed))
--- a/gaugehinge/hosted/tenant_registry.py
+++ b/gaugehinge/hosted/tenant_registry.py
@@ -31,6 +31,7 @@
     revision: int = 0
     store: str = ""
     mark: str = ""  # of the revision, as it was told
+    control_plane_run: str | None = None  # that told it; None: a snapshot did
     drained: frozenset[str] = frozenset()
     by_incarnation: dict[int, Principal] = field(default_factory=dict)
     by_index: dict[int, Principal] = field(default_factory=dict)
@@ -42,11 +43,29 @@
         """Whether any feed was ever followed."""
         return bool(self.store)
 
+    def restore(self, snapshot: Feed) -> RegistryChange | None:
+        """Follow what `snapshot` gave an earlier run of this router. Raises FeedError."""
+        change = self.follow(snapshot)
+        self.control_plane_run = None
+        return change
+
+    def reject_outdated(self, feed: Feed) -> None:
+        """Raise FeedError for a feed that is older than the one followed last.
+
+        One run of the control plane goes back to no earlier revision, and a store is restored between two
+        runs alone. So it is a copy of an earlier response: changes would be laid over a wrong state.
+        """
+        if feed.store_id != self.store or feed.revision >= self.revision:
+            return
+        if not feed.complete or feed.control_plane_run == self.control_plane_run:
+            raise FeedError(f"revision {feed.revision} behind revision {self.revision}")
+
     def follow(self, feed: Feed) -> RegistryChange | None:
         """Follow a feed; the change that the decisions are to be told, None where that is nothing.
 
         Raises FeedError, and then nothing has changed.
         """
+        self.reject_outdated(feed)
         principals = [read_principal(row) for row in feed.tenants]
         standing = self._standing_after(feed, principals)
         by_index = _by_index(standing, principals)
@@ -82,8 +101,8 @@
             raise FeedError("one incarnation told twice, or no store named")
         if feed.complete:
             return {}
-        if feed.store_id != self.store or feed.revision < self.revision:
-            raise FeedError("changes of another store, or of the past")
+        if feed.store_id != self.store:
+            raise FeedError("changes of another store")
         standing = dict(self.by_incarnation)
         for number in feed.removed_incarnations:
             standing.pop(number, None)
@@ -110,6 +129,7 @@
             ident: principal for principal in standing.values() for ident in principal.credentials
         }
         self.store, self.revision, self.mark = feed.store_id, feed.revision, feed.revision_digest
+        self.control_plane_run = feed.control_plane_run
 
     def _is_same_tenant(self, former: Principal, newer: Principal, feed: Feed) -> bool:
         """Whether a number stands for the tenant that it stood for.
--- /dev/null
+++ b/tests/test_request_ids.py
@@ -0,0 +1,115 @@
+"""Responses of the control plane repeat their call's number: a copy is not the next call's response."""
+
+import re
+from contextlib import suppress
+from functools import partial
+
+import httpx
+import msgspec
+import pytest
+import trio
+from admin_api import run_in_trio, serve_api
+
+from gaugehinge.hosted.control_plane_client import ControlPlaneClient
+from gaugehinge.hosted.errors import FeedError
+from gaugehinge.hosted.tenant_registry import TenantRegistry
+from gaugehinge.tenancy.feed import Feed, Report
+from gaugehinge.tenancy.request_id import REQUEST_ID_HEADER
+
+LEASE = 30.0  # seconds
+
+
+class CopyingServer:
+    """Answers each call with its count; behind the second response its copy follows in the same segment."""
+
+    def __init__(self, numbered: bool) -> None:
+        self.numbered, self.calls, self.connections = numbered, 0, 0
+
+    async def serve(self, stream) -> None:
+        """Until the client ends the connection."""
+        self.connections += 1
+        buffer = b""
+        with suppress(trio.BrokenResourceError):
+            while data := await stream.receive_some():
+                buffer += data
+                head, separator, body = buffer.partition(b"\r\n\r\n")
+                length = re.search(rb"(?i)content-length: (\d+)", head)
+                if not separator or len(body) < int(length[1] if length else 0):
+                    continue
+                buffer = b""
+                self.calls += 1
+                number = re.search(rb"(?im)^x-request-id: .*\r", head)
+                response = self.response(number[0] + b"\n" if number and self.numbered else b"")
+                await stream.send_all(response * (2 if self.calls == 2 else 1))
+
+    def response(self, number_line: bytes) -> bytes:
+        """A feed and a tenant at once: each reader takes its own fields."""
+        feed = msgspec.to_builtins(Feed("s", 5, False, [], lease_duration=LEASE + self.calls))
+        body = msgspec.json.encode({**feed, "call": self.calls})
+        return b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n%b\r\n%b" % (len(body), number_line, body)
+
+
+async def call_each(server: CopyingServer, call, times: int) -> list:
+    """What `call`, with the address of the server, returned each time; None for a failure."""
+    async with trio.open_nursery() as nursery:
+        [listener] = await nursery.start(partial(trio.serve_tcp, server.serve, 0, host="127.0.0.1"))
+        address = f"http://127.0.0.1:{listener.socket.getsockname()[1]}"
+        found = await call(address, times)
+        nursery.cancel_scope.cancel()
+    return found
+
+
+async def fetch_leases(address: str, times: int) -> list:
+    found = []
+    async with httpx.AsyncClient(base_url=address, trust_env=False) as http:
+        client = ControlPlaneClient(http)
+        for _ in range(times):
+            try:
+                feed = await client.fetch_feed(Report("r", "run", "s", 5), 1.0)
+                found.append(feed.lease_duration - LEASE)
+            except FeedError:
+                found.append(None)
+    return found
+
+
+def test_a_copied_feed_without_changes_renews_no_lease():
+    """It fits the state of the router: only its number tells that it answers an earlier report."""
+    server = CopyingServer(numbered=True)
+    assert trio.run(call_each, server, fetch_leases, 5) == [1, 2, None, 4, 5]
+    assert server.connections == 3  # the first one, one that ends with the copy, and the next
+
+
+def test_where_no_number_is_repeated_each_call_has_a_connection():
+    server = CopyingServer(numbered=False)
+    assert trio.run(call_each, server, fetch_leases, 5) == [1, 2, 3, 4, 5]
+    assert server.connections == 5
+
+
+def test_each_response_of_the_api_repeats_a_number_that_is_one(tmp_path):
+    async def scene():
+        async with serve_api(tmp_path) as root:
+            for path in ("/v1/tenants", "/v1/tenants/nobody", "/no/such"):
+                for number, expected in (("a-1", "a-1"), ("a b", None), ("x" * 65, None)):
+                    response = await root("GET", path, **{REQUEST_ID_HEADER: number})
+                    assert response.headers.get(REQUEST_ID_HEADER) == expected
+            assert REQUEST_ID_HEADER not in (await root("GET", "/v1/tenants")).headers
+
+    run_in_trio(scene)
+
+
+@pytest.mark.parametrize("from_snapshot", [False, True])
+def test_an_older_state_is_followed_from_another_run_of_the_control_plane_alone(from_snapshot):
+    """A store is restored between two runs; after a start by its snapshot a router knows of no run."""
+    followed = Feed("s", 6, True, [], control_plane_run="one")
+    older = msgspec.structs.replace(followed, revision=5)
+    registry = TenantRegistry()
+    if from_snapshot:
+        registry.restore(followed)
+    else:
+        registry.follow(followed)
+        with pytest.raises(FeedError):
+            registry.follow(older)
+        assert registry.revision == 6
+        older = msgspec.structs.replace(older, control_plane_run="two")
+    registry.follow(older)
+    assert registry.revision == 5
