The API's client takes no response to another call for its own

What callers saw: a command that reads one resource behind another could show, or change at its revision, what an earlier response had said. Cause: the same as of the feed: no response says which call it answers. Change: the client sends the number that the API repeats. The connection of a response to another call ends with it, unread; the call is made again where a failed connection lets it be (reads, keyed and conditional changes), and fails otherwise. Why it works: a copy carries the number of its own call; without numbers each call has a connection, where nothing follows its response.

--- a/gaugehinge/admin/client.py
+++ b/gaugehinge/admin/client.py
@@ -7,6 +7,8 @@
 
 import httpx
 
+from ..tenancy.request_id import REQUEST_ID_HEADER, ResponseMatcher, new_request_id
+
 TIMEOUT = 15.0  # seconds
 MAX_ATTEMPTS = 3  # of a call whose connection failed; one that changes something carries a key or a revision
 PAGE_SIZE = 500
@@ -35,6 +37,7 @@
 
     def __init__(self, url: str, secret: str, transport: httpx.BaseTransport | None = None) -> None:
         """`transport`: in place of sockets, for tests."""
+        self._matcher = ResponseMatcher()
         self._http = httpx.Client(
             base_url=url,
             timeout=TIMEOUT,
@@ -58,10 +61,20 @@
         may_retry = method == "GET" or bool(headers)
         for _ in range(MAX_ATTEMPTS - 1 if may_retry else 0):
             try:
-                return self._http.request(method, path, json=body, headers=headers)
+                return self._send(method, path, body, headers)
             except httpx.TransportError:
                 continue
-        return self._http.request(method, path, json=body, headers=headers)
+        return self._send(method, path, body, headers)
+
+    def _send(self, method: str, path: str, body: Any, headers: dict[str, str]) -> httpx.Response:
+        """Make a call once. The connection of a response to another call ends with it."""
+        request_id = new_request_id()
+        numbered = {**headers, **self._matcher.headers(request_id)}
+        with self._http.stream(method, path, json=body, headers=numbered) as response:
+            if not self._matcher.matches(request_id, response.headers.get(REQUEST_ID_HEADER)):
+                raise httpx.RemoteProtocolError("a response to another call")
+            response.read()
+        return response
 
     def create(self, path: str, body: Any) -> Any:
         """Create something by a call with an idempotency key of its own; its body."""
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -10,6 +10,7 @@
 import trio
 from admin_api import run_in_trio, serve_api
 
+from gaugehinge.admin.client import Client
 from gaugehinge.hosted.control_plane_client import ControlPlaneClient
 from gaugehinge.hosted.errors import FeedError
 from gaugehinge.hosted.tenant_registry import TenantRegistry
@@ -38,8 +39,8 @@
                     continue
                 buffer = b""
                 self.calls += 1
-                number = re.search(rb"(?im)^x-request-id: .*\r", head)
-                response = self.response(number[0] + b"\n" if number and self.numbered else b"")
+                number = re.search(rb"(?im)^x-request-id: [^\r\n]*", head)
+                response = self.response(number[0] + b"\r\n" if number and self.numbered else b"")
                 await stream.send_all(response * (2 if self.calls == 2 else 1))
 
     def response(self, number_line: bytes) -> bytes:
@@ -85,6 +86,24 @@
     assert server.connections == 5
 
 
+@pytest.mark.parametrize("numbered", [True, False])
+def test_a_client_of_the_api_takes_no_copy_for_the_next_tenant(numbered):
+    """With numbers the copy costs a second try of the third read, without them each has a connection."""
+
+    async def read_tenants(address, times):
+        client = Client(address, "secret")
+        found = []
+        for _ in range(times):
+            found.append((await trio.to_thread.run_sync(client.tenant, "t")).body["call"])
+        client.close()
+        return found
+
+    server = CopyingServer(numbered)
+    expected = [1, 2, 4, 5] if numbered else [1, 2, 3, 4]
+    assert trio.run(call_each, server, read_tenants, 4) == expected
+    assert server.connections == (3 if numbered else 4)
+
+
 def test_each_response_of_the_api_repeats_a_number_that_is_one(tmp_path):
     async def scene():
         async with serve_api(tmp_path) as root:
