A signal in a router's last step no longer ends it with an error

What callers saw: a router that had answered all exits with a traceback, and another code than 0, for a second SIGTERM, SIGINT or SIGHUP in its last step. Cause: the receiver of signals closed before the task that reads from it had ended; a signal of the step before had woken that task, the closing handed the signal on, and the task found nothing (traceback: _on_further_signals in trio's SignalReceiver.__anext__). Change: the nursery of those tasks ends first, then the receiver closes; what still stands there goes to the handler that notes it. The control plane's process had the same order and has the new one.

--- a/gaugehinge/admin/process.py
+++ b/gaugehinge/admin/process.py
@@ -77,8 +77,8 @@
 
 async def _serve(config: ControlPlaneConfig, control_plane: ControlPlane) -> None:
     stop = trio.Event()
-    async with trio.open_nursery() as nursery:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
 
             async def stop_on_signal() -> None:
                 async for number in signals:
--- a/gaugehinge/net/service.py
+++ b/gaugehinge/net/service.py
@@ -94,8 +94,9 @@
 
     async def _run(self) -> None:
         self._open_sockets()
-        async with trio.open_nursery() as nursery:
-            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        # The receiver closes behind its last reader: one that was woken in the same step found nothing there.
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async with trio.open_nursery() as nursery:
                 self._build_parts(nursery)
                 accepting = self._start(nursery)
                 await self._serve(signals)
@@ -103,9 +104,9 @@
                 await GracefulShutdown(self).run(accepting)
                 for hook in self.extensions.shutdown_hooks:
                     await hook.before_exit()
-            for _ in range(2):
-                await trio.lowlevel.checkpoint()  # a signal that came as the receiver closed comes once more
-            nursery.cancel_scope.cancel()
+                nursery.cancel_scope.cancel()
+        for _ in range(2):
+            await trio.lowlevel.checkpoint()  # a signal that came as the receiver closed comes once more
         self.enter(Phase.ENDED)
 
     def _open_sockets(self) -> None:
--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -1,14 +1,19 @@
 """Signals that reach a router while it starts, and in its last milliseconds."""
 
 import os
+import signal
 import subprocess
 import sys
 import tomllib
 from pathlib import Path
 
 import pytest
+import trio
 
+from gaugehinge.net import graceful_shutdown
+from gaugehinge.net.extensions import Extensions
 from tests.children import run
+from tests.helper import fleet
 
 # Sends the signal as the router imports a package, whichever comes first.
 PROGRAM = """
@@ -75,3 +80,32 @@
     program = PROGRAM_THAT_IS_SIGNALLED_AT_ITS_END.format(name)
     ended = run("-c", program, env={**os.environ, "LB_CONFIG": str(path)})
     assert ended.returncode == 2
+
+
+class SignalAsTheReceiverCloses:
+    """A shutdown hook that ends in the step in which its signal wakes the one who waits for signals."""
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+
+    async def before_exit(self) -> None:
+        os.kill(os.getpid(), self.number)  # trio hands it on in its next step,
+        handed_on = trio.Event()
+        trio.lowlevel.current_trio_token().run_sync_soon(handed_on.set)  # and this behind it
+        await handed_on.wait()
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT], ids=lambda number: number.name)
+def test_a_signal_as_the_receiver_closes_ends_no_router_with_an_error(tmp_path, monkeypatch, number):
+    """Which of the two woken tasks runs first is trio's choice by chance: ten times, either comes."""
+    monkeypatch.setattr(graceful_shutdown, "ACCEPT_GRACE", 0.0)
+
+    async def leave(path):
+        extensions = Extensions(shutdown_hooks=(SignalAsTheReceiverCloses(number),))
+        async with fleet(path, build_extensions=lambda service, nursery: extensions) as made:
+            os.kill(os.getpid(), signal.SIGTERM)
+            with trio.fail_after(20):
+                await made.ended.wait()
+
+    for _ in range(10):
+        trio.run(leave, tmp_path)
