Crossings: a client that read to the end is excused, one that got nothing is not

Wrong in the check since: it asked only whether the connection ended at the router's latest end. Change: the client must have got a part of the answer, and something of it in the last 0.25 s (TCP asks a full window first after 0.2 s), less what the loop stood still. Less is excused than before, nothing more.

--- a/tests/crossings.py
+++ b/tests/crossings.py
@@ -40,6 +40,7 @@
 DRAIN_GRACE = 0.5 + 0.05  # behind the writing of the list; where the order is forced, there is none
 CLOSE_GRACE = 0.1  # behind a client's close
 END_GRACE = 0.1  # behind the latest end after SIGTERM: the router's own look at the clock, and a task's way
+READ_PAUSE = 0.25  # between pieces of an answer that is read: the first probe of a full window, and a little
 SAMPLE = 0.01  # how often the loop's standing still is measured
 PAD = 60_000  # bytes of a request that does not fit the buffers on its way to a server
 BIG = 900_000  # bytes of an answer that does not fit those to its client
@@ -336,6 +337,7 @@
         self.quit = False
         self.reading = trio.Event()
         self.stalled = small  # whether it did not read for a while
+        self.progress_at = inf  # when it began to read, or read something last
         if not small:
             self.reading.set()
         play.customers.append(self)
@@ -368,6 +370,7 @@
             await self.reading.wait()
             if self.over.is_set():  # closed meanwhile
                 return
+            self.progress_at = min(self.progress_at, trio.current_time())
             try:
                 await trio.lowlevel.wait_readable(self.raw)
                 data = self.raw.recv(1 << 20)
@@ -375,18 +378,19 @@
                 continue
             except (OSError, ValueError, trio.ClosedResourceError):
                 data = b""
-            read_too_late = not data and self._began_to_read_too_late()
-            if read_too_late:
+            was_reading = not data and len(parser) > 0 and self._was_reading_to_the_end()
+            if was_reading:
                 for request in self.owed:
                     request.excused = True
                     request.finished.set()
                 self.owed.clear()
             if not data:
-                if len(parser) and self.closed_at == inf and not read_too_late:
+                if len(parser) and self.closed_at == inf and not was_reading:
                     owed = self.owed[0].ident if self.owed else "nobody's"
                     self.play.broke(ANSWER, f"half an answer, then the end: {owed}")
                 self._ended()
                 return
+            self.progress_at = trio.current_time()
             parser.feed(data)
             try:
                 while (message := parser.next()) is not None:
@@ -395,12 +399,15 @@
                 self.play.broke(ANSWER, f"an answer that cannot be read: {bad}")
                 self._ended()
 
-    def _began_to_read_too_late(self) -> bool:
-        """Whether the router's time ended under answers that this client had left unread.
+    def _was_reading_to_the_end(self) -> bool:
+        """Whether the router's time ended while this client, which had stopped reading, read an answer.
 
-        They have failed and are not lost: the router cannot finish them through no fault of its own.
+        That one has failed and is not lost: the router could not finish it through no fault of its own. A
+        router that had stopped writing it before that could have.
         """
-        return self.stalled and trio.current_time() >= self.play.term_at + LONGEST + KILL_SLACK
+        now = trio.current_time()
+        pause = now - self.progress_at - self.play.stood(self.progress_at, now)
+        return self.stalled and now >= self.play.term_at + LONGEST + KILL_SLACK and pause < READ_PAUSE
 
     def _answered(self, data: bytes) -> None:
         if not self.owed:
--- a/tests/test_crossings_generated.py
+++ b/tests/test_crossings_generated.py
@@ -224,3 +224,15 @@
     made = play(4072)
     assert any(customer.stalled for customer in made.customers)
     assert not made.breaks
+
+
+def test_a_router_that_stops_within_an_answer_is_found_though_its_connection_ends_last(monkeypatch):
+    """The client of seed 4072 reads for more than a second, and nothing comes."""
+
+    async def stop(self, client, rest):
+        await trio.sleep_forever()
+
+    monkeypatch.setattr(ReplyWriter, "_write_rest", stop)
+    made = play(4072)
+    assert any(customer.stalled for customer in made.customers)
+    assert any(rule == ANSWER and "half an answer" in text for rule, text in made.breaks)
