A connection over the limit stays once there is a place for it

Cause: a router that wakes accepts its whole backlog, those that gave up meanwhile first; beyond 409 the last ones, whose clients still wait, are marked as over the limit. Only a request cleared the mark; without one within 0.05 s of +OK (a busy client) the look for idle ones closed the connection, place or not. Change: whether a connection is over the limit has one owner, the registry, which clears the mark where there is a place; the look asks it, too. Test: failed before with both ways of reading (the connection ended, None in place of the value), passes now. Not by this: with no place, a client that was let in and sends nothing for 0.05 s is still closed.

--- a/gaugehinge/cluster/front.py
+++ b/gaugehinge/cluster/front.py
@@ -182,8 +182,7 @@
         held = sum(len(piece.words) + len(piece.value or b"") for piece in pieces)
         full = self.limits.reserved_bytes + held > self.limits.max_reserved_bytes
         full = full or len(self.dispatcher.pending_operations) + len(pieces) > self.limits.max_in_flight
-        client.over_limit = client.over_limit and len(self.connections) > self.limits.max_connections
-        if full or client.over_limit or self.is_overloaded():
+        if full or self.registry.is_over_limit(client) or self.is_overloaded():
             self.reply(client, BUSY_REPLY)  # it never ran
             return
         pending_reply = PendingReply(reserved_bytes=held)
--- a/gaugehinge/net/client_server.py
+++ b/gaugehinge/net/client_server.py
@@ -211,13 +211,9 @@
             self.registry.close_soon(client)
 
     def _must_reject(self, client: ClientConnection, size: int) -> bool:
-        """Whether there is no capacity for an operation of `size` bytes.
-
-        Clears `over_limit` where there is a place for the connection by now.
-        """
+        """Whether there is no capacity for an operation of `size` bytes."""
         limits = self.limits
-        client.over_limit = client.over_limit and len(self.connections) > limits.max_connections
-        if client.over_limit and self.admission_control is not None:
+        if self.registry.is_over_limit(client) and self.admission_control is not None:
             client.over_limit = self.admission_control.exceeds_connection_quota(
                 client.tenant, self.connections, limits.max_connections
             )
--- a/gaugehinge/net/connection_registry.py
+++ b/gaugehinge/net/connection_registry.py
@@ -78,6 +78,11 @@
         self.shut_down(client)
         return True
 
+    def is_over_limit(self, client: ClientConnection) -> bool:
+        """Whether a connection is over the limit, and was all the time since it was accepted."""
+        client.over_limit = client.over_limit and len(self.connections) > self.limits.max_connections
+        return client.over_limit
+
     def close_over_limit_when_idle(self, client: ClientConnection) -> None:
         """Look again, until a connection over the limit is idle and can be closed."""
         if (
@@ -91,5 +96,7 @@
 
     def _recheck_over_limit(self, client: ClientConnection) -> None:
         client.recheck_timer = None
-        if self.is_open(client) and not self.close_if_idle(client):
+        if not self.is_open(client) or not self.is_over_limit(client):
+            return
+        if not self.close_if_idle(client):
             self.close_over_limit_when_idle(client)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -766,6 +766,31 @@
     run(scene)
 
 
+@both
+def test_a_connection_over_the_limit_stays_once_there_is_a_place_for_it(tmp_path, monkeypatch):
+    monkeypatch.setattr(connection_registry, "NEW_CONNECTION_GRACE", 60.0)
+
+    async def scene():
+        async with fleet(tmp_path, sockets=64) as made:
+            registry = made.service.clients.registry
+            registry.idle_grace = 60.0
+            others = [await made.client() for _ in range(registry.limits.max_connections)]
+            while len(registry.connections) < len(others):
+                await trio.sleep(0.002)
+            client = await made.client()
+            assert await client.ask("PING") == b"+PONG\r\n"
+            [over] = [each for each in registry.connections if each.over_limit]
+            for other in others:
+                await other.stream.aclose()
+            while len(registry.connections) > 1:
+                await trio.sleep(0.002)
+            registry.idle_grace = 0.0  # the look at which it is closed is due now
+            registry._recheck_over_limit(over)
+            assert await client.get() == b"$5\r\nof k1\r\n"
+
+    run(scene)
+
+
 @both
 def test_a_client_just_answered_may_go_on_though_its_connection_is_not_wanted(tmp_path, monkeypatch):
     # A busy machine takes longer to connect them all.
