--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""An origin some of whose answers state a length that does not fit: half of what they bring."""
+"""Cache servers that answer many requests at a time with long values, in small pieces."""
 
 from __future__ import annotations
 
@@ -10,101 +10,110 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
 import rig
 
-SPOILT_EVERY = 4  # one answer of the origin in so many is spoilt
-REQUESTS = 60
-WAIT = 1.5  # seconds that a client waits, its label d
-
-
-class MissingCache(rig.Cache):
-    """A cache server that lacks every key."""
-
-    async def serve(self, reader, writer) -> None:
-        """Answer each read with a miss."""
-        while True:
-            words = await rig.read_value(reader)
-            if words[0].upper() == b"KV.GET":
-                await self.send(writer, b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n")
-            else:
-                await self.send(writer, b"+OK\r\n")
-
-
-def value_for(method: str, key: str, ident: str) -> bytes:
-    """Return what the origin makes for one request."""
-    return f"{method} of {key}: made for the request {ident}, whole to the last word".encode()
-
-
-class SpoilingOrigin(rig.Origin):
-    """Answers each request; some answers are spoilt."""
-
-    async def serve(self, reader, writer) -> None:
-        """Handle one connection. One on which an answer was spoilt stays open and is of no further use."""
-        while True:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-            method, target, _ = head[0].split(" ")
-            headers = dict(line.lower().split(": ", 1) for line in head[1:] if line)
-            await reader.readexactly(int(headers.get("content-length", 0)))
-            await asyncio.sleep(self.delay)
-            ident = headers["x-txn"]
-            body = value_for(method, target[1:], ident)
-            self.ran.append((method, ident))
-            is_spoilt = rig.TROUBLE and len(self.ran) % SPOILT_EVERY == 0
-            length = len(body) // 2 if is_spoilt else len(body)
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (length, body))
-            await writer.drain()
-            self.record(f"origin ran {method} {ident}, stated {length} bytes of {len(body)}")
-            if is_spoilt:
-                await reader.read()
-
-
-async def ask(router: rig.Router, number: int, record: rig.Record) -> str:
-    """One request, every third one a write; returns what became of it."""
-    key, ident = f"chair{number}", f"{0xA000 + number:016x}"
-    reader, writer = await asyncio.open_connection(rig.HOST, router.port)
-    method = "PUT" if number % 3 == 0 else "GET"
-    words = [b"KV.GET", key.encode(), ident.encode(), rig.READ % (WAIT * 1000)]
-    if method == "PUT":
-        words = [
-            b"KV.SET",
-            *words[1:3],
-            b"c=reservar-cita,t=odonto-austro,d=%d" % (WAIT * 1000),
-            b"a booking",
-        ]
-    sent = time.monotonic()
-    writer.write(rig.command(*words))
+MEMORY_MB = 96  # half of 192
+SOCKETS = 512  # half of 1,024
+SIZE = 1_000_000 if rig.TROUBLE else 64 * 1024  # bytes of a value
+CLIENTS = 150  # requests at a time: under a third of the descriptors
+ROUNDS = 3
+RATE, CALM = 600, 4.0  # requests a second for short values before that, and seconds of it
+WAIT = 5.0  # seconds that a client waits, its label d
+PIECE = 32 * 1024  # bytes that a cache server writes at once
+TIME = 0.6  # seconds in which it writes a value
+
+
+class SlowCache(rig.Cache):
+    """Writes its answers in small pieces."""
+
+    async def send(self, writer, data: bytes) -> None:
+        """Write an answer, a piece at a time."""
+        if len(data) < PIECE:
+            await super().send(writer, data)
+            return
+        for start in range(0, len(data), PIECE):
+            await super().send(writer, data[start : start + PIECE])
+            await asyncio.sleep(TIME * PIECE / len(data))
+
+
+async def ask(port: int, number: int) -> str:
+    """One request; returns what became of it."""
     try:
+        reader, writer = await asyncio.wait_for(asyncio.open_connection(rig.HOST, port, limit=1 << 22), 5.0)
+        ident = b"%016x" % number
+        writer.write(rig.command(b"KV.GET", b"key%d" % number, ident, rig.READ % (WAIT * 1000)))
         answer = await asyncio.wait_for(rig.read_value(reader), WAIT + 2.0)
-    except (TimeoutError, EOFError, OSError):
-        answer = None
-    writer.close()
+        writer.close()
+    except TimeoutError:
+        return "unanswered"
+    except (OSError, EOFError, asyncio.IncompleteReadError):
+        return "lost with the router"
     if isinstance(answer, bytes):
-        what = "served" if answer == value_for(method, key, ident) else "served wrongly"
-    else:
-        what = "unanswered" if answer is None else answer[1].split()[0]
-    record(f"{method} {ident}: {what} after {time.monotonic() - sent:.3f} s: {answer!r}")
-    return what
+        return "served" if answer == value_of(b"key%d" % number) else "served wrongly"
+    return f"answered {answer[1].split()[0]}"
+
+
+async def ask_often(port: int, first: int) -> int:
+    """Short requests, one after the other on one connection; returns how many were served."""
+    reader, writer = await asyncio.open_connection(rig.HOST, port)
+    served, end = 0, time.monotonic() + CALM
+    while time.monotonic() < end:
+        first += 1
+        writer.write(rig.command(b"KV.GET", b"short%d" % (first % 500), b"%016x" % first, rig.READ % 1500))
+        served += isinstance(await rig.read_value(reader), bytes)
+        await asyncio.sleep(40 / RATE)
+    writer.close()
+    return served
+
+
+def value_of(key: bytes) -> bytes:
+    """Return the value of a key."""
+    return key if key.startswith(b"short") else (key + b" ").ljust(SIZE, b"v")
+
+
+async def watch_memory(router: rig.Router, record: rig.Record, seen: list) -> None:
+    """The platform: over its limit the router is killed."""
+    while router.process.returncode is None:
+        used = router.memory()
+        seen.append(used)
+        if used > MEMORY_MB << 20:
+            record(f"the router has {used / 1048576:.1f} MiB of memory of its own, over {MEMORY_MB}: killed")
+            rig.kill_now(router.process)
+            return
+        await asyncio.sleep(0.01)
 
 
 async def case(record: rig.Record, folder: Path) -> int:
-    """Reads that miss and writes; broken if a client gets another value than the one made for its request."""
-    discovery, origin = rig.Discovery(record), SpoilingOrigin(record)
-    origin.delay = 0.1
-    caches = [MissingCache(f"s-{n}", record) for n in range(3)]
+    """Short requests, then long ones many at a time; broken if the router goes over its memory."""
+    discovery, origin = rig.Discovery(record), rig.Origin(record)
+    caches = [SlowCache(f"s-{n}", record) for n in range(4)]
     for server in (discovery, origin, *caches):
         await server.start()
     discovery.set("s-origin", origin.port, model="origin")
     for cache in caches:
+        cache.value_of = value_of
         discovery.set(cache.name, cache.port)
-    router = rig.Router(record, folder, rig.configuration(rig.free_port(), discovery.port, discovery.whole()))
+    limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}
+    router = rig.Router(
+        record, folder, rig.configuration(rig.free_port(), discovery.port, discovery.whole(), limits=limits)
+    )
+    seen: list = []
     try:
         await router.start()
-        results = []
-        for number in range(REQUESTS):
-            results.append(asyncio.create_task(ask(router, number, record)))
-            await asyncio.sleep(0.02)
-        results = await asyncio.gather(*results)
-        counts = ", ".join(f"{results.count(what)} {what}" for what in sorted(set(results)))
-        record(f"of {REQUESTS} requests: {counts}")
-        return rig.BROKEN if "served wrongly" in results else rig.HELD
+        record(f"memory at rest: {router.memory() / 1048576:.1f} MiB")
+        watching = asyncio.create_task(watch_memory(router, record, seen))
+        for turn in range(ROUNDS):
+            firsts = [(n + 1) << 32 | turn << 20 for n in range(40)]
+            served = await asyncio.gather(*(ask_often(router.port, first) for first in firsts))
+            used = router.memory() / 1048576
+            record(f"{sum(served)} short requests served in {CALM:.0f} s; memory {used:.1f} MiB")
+            began = time.monotonic()
+            results = await asyncio.gather(*(ask(router.port, turn * CLIENTS + n) for n in range(CLIENTS)))
+            counts = ", ".join(f"{results.count(w)} {w}" for w in sorted(set(results)))
+            record(f"{CLIENTS} requests for {SIZE} bytes in {time.monotonic() - began:.2f} s: {counts}")
+            record(f"most memory so far: {max(seen) / 1048576:.1f} MiB")
+            if watching.done():
+                return rig.BROKEN
+        watching.cancel()
+        return rig.HELD
     finally:
         await router.end()
 
