--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -22,6 +22,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+TIME_LIMIT = 110.0  # seconds of a case
 READY_LIMIT = 30.0  # seconds in which a router has to answer PING with PONG
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -423,12 +424,13 @@
     result = NOT_RUN
 
     async def limited() -> int:
-        return await asyncio.wait_for(case(record, temporary), 110.0)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await asyncio.wait_for(case(record, temporary), TIME_LIMIT)
 
     try:
         record(f"with the disruption: {TROUBLE}")
         result = asyncio.run(limited())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CannotRun, TimeoutError, asyncio.CancelledError, OSError) as error:
         record(f"could not run: {type(error).__name__} {error}")
     except Exception as error:  # a defect of the test itself
         record(f"the test failed: {type(error).__name__} {error}")
