Parse each received byte once: replies and heads in pieces cost the square of their size

Cause: the RESP parser began anew with each piece and copied each complete item again (a value of 4 MiB with 13,530 bytes of lines behind it, byte by byte); the head of an HTTP response was searched whole for each piece (201 MB examined for 20 KB); interim responses each copied the rest and took a level of the stack. Change: the parser keeps its place and its open arrays, bodies are copied on demand; the search for the end of a head goes on where it ended; at most 100 interim responses, where the stack's end was the bound. A message over the limit is refused however it is cut. A remembered response is hashed without a copy of it.

--- a/gaugehinge/hosted/front.py
+++ b/gaugehinge/hosted/front.py
@@ -9,7 +9,7 @@
 
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any, cast
 
 from loguru import logger
@@ -33,7 +33,7 @@
     RequestParser,
     parse_labels,
 )
-from ..net.resp import BULK, Frame, Message, bulk
+from ..net.resp import Message, Parser, bulk
 from .authenticator import Authenticator
 from .principal import Principal
 
@@ -157,7 +157,7 @@
     ]
     if is_write:
         bodies.append(parts[4].body)
-    return _encode(message, parts, bodies)
+    return _encode(bodies)
 
 
 def _rewrite_class_and_wait(labels: dict[str, str], bearer: Principal) -> None:
@@ -175,11 +175,11 @@
         labels[WAIT_LABEL] = str(min(int(labels[WAIT_LABEL]), int(max_wait * MILLISECONDS)))
 
 
-def _encode(message: Message, parts: list[Frame], bodies: list[bytes]) -> Message:
-    """Return a message with the given bodies, its parts at the offsets that a parser would find."""
-    raw, frames = b"*%d\r\n" % len(bodies), []
-    for body, part in zip(bodies, parts, strict=True):
-        start = len(raw)
-        raw += bulk(body)
-        frames.append(replace(part, kind=BULK, body=body, start=start, end=len(raw)))
-    return Message(raw, replace(message.top, body=frames, start=0, end=len(raw)))
+def _encode(bodies: list[bytes]) -> Message:
+    """Return the message that a parser reads from an array of bulk strings."""
+    raw = b"*%d\r\n" % len(bodies) + b"".join(map(bulk, bodies))
+    parser = Parser(len(raw))
+    parser.feed(raw)
+    message = parser.next()
+    assert message is not None  # the message is complete
+    return message
--- a/gaugehinge/net/http_exchange.py
+++ b/gaugehinge/net/http_exchange.py
@@ -10,7 +10,10 @@
 from .codec import ConnectionLost, MalformedReply
 
 MAX_HEAD_BYTES = 32 * 1024
+USUAL_BODY_BYTES = 16 * 1024  # of a response
 END_OF_HEAD = re.compile(rb"\n\r?\n")
+MAX_END_OF_HEAD_BYTES = 3
+MAX_INTERIM_RESPONSES = 100  # 1xx, before one final response
 RESPONSE_START = b"HTTP/1."
 LOAD_REPORT_HEADER = re.compile(rb"(?i)\nx-pressure:[^\n]*")  # not used by this router
 
@@ -39,6 +42,20 @@
         self._body = bytearray()
         self._incomplete_head = bytearray()
         self._is_head_mixed = False
+        self._interim_count = 0
+
+    @property
+    def expected_bytes(self) -> int:
+        """Length of the incomplete response as far as it is known.
+
+        A body that states no length is taken for the longest one, once it is longer than most.
+        """
+        if self._head is None:
+            return len(self._incomplete_head)
+        stated = _stated_length(self._head)
+        if stated is not None:
+            return stated
+        return len(self._body) if len(self._body) <= USUAL_BODY_BYTES else self.max_body_bytes
 
     def request(
         self,
@@ -67,21 +84,39 @@
         """
         if self._head is not None or not data:
             return self._parse(data)
+        # The end of the head may have begun in the last bytes that were searched before.
+        searched = max(len(self._incomplete_head) - MAX_END_OF_HEAD_BYTES + 1, 0)
         self._incomplete_head += data
-        end_of_head = END_OF_HEAD.search(self._incomplete_head)
-        if end_of_head is None and len(self._incomplete_head) < MAX_HEAD_BYTES:
+        response, end = self._parse_heads(searched)
+        rest = bytes(self._incomplete_head[end:])
+        if self._head is None and response is None:
+            del self._incomplete_head[:end]
             return None
-        end = end_of_head.end() if end_of_head else len(self._incomplete_head)
-        head, rest = bytes(self._incomplete_head[:end]), bytes(self._incomplete_head[end:])
         self._incomplete_head.clear()
-        self._is_head_mixed = head.find(RESPONSE_START, 1) >= 0
-        response = self._parse(LOAD_REPORT_HEADER.sub(b"", head))
         if response is None:
-            return self.receive(rest) if rest else None
+            return self._parse(rest) if rest else None
         if not rest:
             return response
         return response._replace(reusable=False, is_mixed=response.is_mixed or not _starts_response(rest))
 
+    def _parse_heads(self, searched: int) -> tuple[HttpResponse | None, int]:
+        """Parse complete heads up to that of the final response, which interim responses may precede.
+
+        `searched`: number of bytes that hold no end of a head. Returns the response, if it has no body, and
+        the number of bytes parsed.
+        """
+        start, response = 0, None
+        while self._head is None and response is None:
+            end_of_head = END_OF_HEAD.search(self._incomplete_head, max(start, searched))
+            if end_of_head is None and len(self._incomplete_head) - start < MAX_HEAD_BYTES:
+                break
+            end = end_of_head.end() if end_of_head else len(self._incomplete_head)
+            head = bytes(self._incomplete_head[start:end])
+            self._is_head_mixed = head.find(RESPONSE_START, 1) >= 0
+            response = self._parse(LOAD_REPORT_HEADER.sub(b"", head))
+            start = end
+        return response, start
+
     def _parse(self, data: bytes) -> HttpResponse | None:
         try:
             self._state.receive_data(data)
@@ -96,8 +131,13 @@
             event = self._state.next_event()
             if event is h11.NEED_DATA:
                 return None
-            if isinstance(event, h11.Response):
+            if isinstance(event, h11.InformationalResponse):
+                self._count_interim_response()
+            elif isinstance(event, h11.Response):
                 self._head = event
+                self._interim_count = 0
+                if (_stated_length(event) or 0) > self.max_body_bytes:
+                    raise MalformedReply("response body is too long")
             elif isinstance(event, h11.Data):
                 self._body += event.data
                 if len(self._body) > self.max_body_bytes:
@@ -107,6 +147,11 @@
             elif isinstance(event, h11.ConnectionClosed):
                 raise ConnectionLost("end of stream")
 
+    def _count_interim_response(self) -> None:
+        self._interim_count += 1
+        if self._interim_count > MAX_INTERIM_RESPONSES:
+            raise MalformedReply("too many interim responses")
+
     def _complete(self) -> HttpResponse:
         """Return the response that just ended, and prepare for the next request if it is reusable."""
         head, body = self._head, bytes(self._body)
@@ -123,6 +168,14 @@
         return HttpResponse(head.status_code, dict(head.headers), body, reusable, is_mixed)
 
 
+def _stated_length(head: h11.Response) -> int | None:
+    """Return the length that a head states for its body; None if it states none or the body is chunked."""
+    headers = dict(head.headers)
+    if b"transfer-encoding" in headers or b"content-length" not in headers:
+        return None
+    return int(headers[b"content-length"])
+
+
 def _starts_response(data: bytes) -> bool:
     """Whether the bytes after a response are the start of another one, as far as they were received."""
     return data.startswith(RESPONSE_START[: len(data)])
--- a/gaugehinge/net/reply_memory.py
+++ b/gaugehinge/net/reply_memory.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from xxhash import xxh64_intdigest
+from xxhash import xxh64
 
 FILTER_BITS = 1 << 15  # 4 KiB
 INDEX_MASK = FILTER_BITS - 1
@@ -25,13 +25,16 @@
         self._bits = bytearray()  # allocated with the first reply: many connections carry none
         self.count = 0
 
-    def add(self, reply: bytes) -> bool:
-        """Remember a reply; returns whether it may equal an earlier one. False is certain."""
+    def add(self, *parts: bytes) -> bool:
+        """Remember a reply, given in parts; returns whether it may equal an earlier one. False is certain.
+
+        Parts need no copy of a long reply in one piece.
+        """
         bits = self._bits
         if not bits:
             bits = self._bits = bytearray(FILTER_BITS // 8)
         self.count += 1
-        digest = xxh64_intdigest(reply)
+        digest = _digest(parts)
         may_be_known = True
         for shift in INDEX_SHIFTS:
             index = digest >> shift & INDEX_MASK
@@ -43,7 +46,7 @@
 
     def has(self, reply: bytes) -> bool:
         """Whether a reply may equal an earlier one. False is certain."""
-        bits, digest = self._bits, xxh64_intdigest(reply)
+        bits, digest = self._bits, _digest((reply,))
         if not bits:
             return False
         indexes = [digest >> shift & INDEX_MASK for shift in INDEX_SHIFTS]
@@ -52,3 +55,10 @@
     def is_full(self) -> bool:
         """Whether no further reply should be remembered."""
         return self.count >= MAX_REPLIES
+
+
+def _digest(parts: tuple[bytes, ...]) -> int:
+    state = xxh64()
+    for part in parts:
+        state.update(part)
+    return state.intdigest()
--- a/gaugehinge/net/resp.py
+++ b/gaugehinge/net/resp.py
@@ -15,6 +15,8 @@
 
 CRLF = b"\r\n"
 CRLF_BYTES = 2
+NULL_BODY = -1  # offset of the body of a null
+INCOMPLETE = -1  # end of an array of which not all items have been parsed
 ERROR, STATUS, NUMBER, BULK, ARRAY = b"-+:$*"  # the first byte of a value
 
 
@@ -29,7 +31,29 @@
     kind: int
     start: int
     end: int
-    body: bytes | list[Frame] | None  # None: the null bulk string or array
+    body_start: int  # of a value that is not an array; NULL_BODY for the null bulk string or array
+    body_end: int
+    message: _Received
+    items: list[Frame] | None = None  # of an array
+
+    @property
+    def body(self) -> bytes | list[Frame] | None:
+        """The value: a copy of its bytes, the items of an array, or None for a null.
+
+        It is copied on demand, since long values are usually forwarded with their type byte and length.
+        """
+        if self.items is not None:
+            return self.items
+        if self.body_start == NULL_BODY:
+            return None
+        return self.message.raw[self.body_start : self.body_end]
+
+
+class _Received:
+    """The raw bytes of a message, which its frames share; set once the message is complete."""
+
+    __slots__ = ("raw",)
+    raw: bytes
 
 
 class Message(NamedTuple):
@@ -44,46 +68,84 @@
 
 
 class Parser:
-    """Takes received bytes and returns complete messages."""
+    """Takes received bytes and returns complete messages. No byte of a message is parsed twice."""
 
     def __init__(self, max_value_bytes: int = MAX_VALUE_BYTES) -> None:
         """Create a parser. A bulk string longer than `max_value_bytes` is malformed."""
         self.max_value_bytes = max_value_bytes
         self._buffer = bytearray()
-        self._needed = 0  # with fewer bytes the message cannot be complete
+        self._begin_message()
+
+    def _begin_message(self) -> None:
+        self._message = _Received()
+        self._position = 0  # of the first byte that is not parsed; the message begins at 0
+        self._needed = 0  # with fewer bytes the next value cannot be complete
+        self._open_arrays: list[tuple[Frame, int]] = []  # with the number of their items, innermost last
 
     def __len__(self) -> int:
-        """Number of bytes that are not parsed yet."""
+        """Number of bytes that are not part of a complete message yet."""
         return len(self._buffer)
 
+    @property
+    def expected_bytes(self) -> int:
+        """Length of the incomplete message as far as it is known: what arrived and the value announced."""
+        return max(len(self._buffer), self._needed)
+
     def feed(self, data: bytes) -> None:
         """Append received bytes."""
         self._buffer += data
 
+    def clear(self) -> None:
+        """Discard what was received of the incomplete message and behind it."""
+        self._buffer.clear()
+        self._begin_message()
+
     def unparsed(self) -> bytes:
         """Return the bytes after the last complete message."""
         return bytes(self._buffer)
 
     def next(self) -> Message | None:
         """Return the next complete message, or None if more bytes are needed. Raises Malformed."""
-        if not self._buffer or len(self._buffer) < self._needed:
-            return None
-        self._needed = 0
-        top = self._parse(0, 0)
-        if top is None:
-            if len(self._buffer) > self.max_value_bytes + MAX_OVERHEAD_BYTES:
-                raise Malformed("message too long")
+        if len(self._buffer) < self._needed:
             return None
+        while (frame := self._next_frame()) is not None:
+            top = self._add_to_array(frame)
+            if top is not None:
+                return self._take_message(top)
+        if len(self._buffer) > self.max_value_bytes + MAX_OVERHEAD_BYTES:
+            raise Malformed("message too long")
+        return None
+
+    def _take_message(self, top: Frame) -> Message:
+        """Remove a complete message from the buffer."""
         if top.end == len(self._buffer):  # nearly always the case
             raw = bytes(self._buffer)
             self._buffer.clear()
         else:
             raw = bytes(self._buffer[: top.end])
             del self._buffer[: top.end]
+        self._message.raw = raw
+        self._begin_message()
         return Message(raw, top)
 
-    def _parse(self, start: int, depth: int) -> Frame | None:
-        """Parse the value that begins at `start`; returns None while it is incomplete."""
+    def _add_to_array(self, frame: Frame) -> Frame | None:
+        """Add a value to the innermost open array; returns the top-level value once it is complete."""
+        if frame.end == INCOMPLETE:
+            return None  # an array that was just opened
+        while self._open_arrays:
+            array, count = self._open_arrays[-1]
+            assert array.items is not None  # only arrays with items are open
+            array.items.append(frame)
+            if len(array.items) < count:
+                return None
+            self._open_arrays.pop()
+            array.end = frame.end
+            frame = array
+        return frame
+
+    def _next_frame(self) -> Frame | None:
+        """Parse the next value, or the head of an array; returns None while it is incomplete."""
+        start = self._position
         if start >= len(self._buffer):
             return None
         kind = self._buffer[start]
@@ -95,40 +157,45 @@
                 raise Malformed("line too long")
             return None
         line = bytes(self._buffer[start + 1 : line_end])
-        line_end += CRLF_BYTES
         if kind == BULK:
-            return self._parse_bulk(start, line_end, line)
+            return self._parse_bulk(start, line_end + CRLF_BYTES, line)
         if kind == ARRAY:
-            return self._parse_array(start, line_end, line, depth)
+            return self._parse_array_head(start, line_end + CRLF_BYTES, line)
         if kind == NUMBER and not line.removeprefix(b"-").isdigit():
             raise Malformed("not a number")
-        return Frame(kind, start, line_end, line)
+        return self._frame(kind, start, line_end + CRLF_BYTES, start + 1, line_end)
+
+    def _frame(self, kind: int, start: int, end: int, body_start: int, body_end: int) -> Frame:
+        """Create the frame of a complete value; parsing goes on behind it."""
+        self._position = end
+        return Frame(kind, start, end, body_start, body_end, self._message)
 
     def _parse_bulk(self, start: int, body_start: int, line: bytes) -> Frame | None:
         if line == b"-1":
-            return Frame(BULK, start, body_start, None)
+            return self._frame(BULK, start, body_start, NULL_BODY, NULL_BODY)
         body_end = body_start + _read_length(line, self.max_value_bytes, "value too long")
         end = body_end + CRLF_BYTES
+        if end > self.max_value_bytes + MAX_OVERHEAD_BYTES:
+            raise Malformed("message too long")
         if len(self._buffer) < end:
             self._needed = end
             return None
         if self._buffer[body_end:end] != CRLF:
             raise Malformed("value longer than told")
-        return Frame(BULK, start, end, bytes(self._buffer[body_start:body_end]))
+        return self._frame(BULK, start, end, body_start, body_end)
 
-    def _parse_array(self, start: int, item_start: int, line: bytes, depth: int) -> Frame | None:
+    def _parse_array_head(self, start: int, items_start: int, line: bytes) -> Frame:
         if line == b"-1":
-            return Frame(ARRAY, start, item_start, None)
-        if depth + 1 >= MAX_DEPTH:
+            return self._frame(ARRAY, start, items_start, NULL_BODY, NULL_BODY)
+        if len(self._open_arrays) + 1 >= MAX_DEPTH:
             raise Malformed("nested too deep")
-        items: list[Frame] = []
-        for _ in range(_read_length(line, MAX_ARRAY_ITEMS, "too many items")):
-            item = self._parse(item_start, depth + 1)
-            if item is None:
-                return None
-            items.append(item)
-            item_start = item.end
-        return Frame(ARRAY, start, item_start, items)
+        count = _read_length(line, MAX_ARRAY_ITEMS, "too many items")
+        array = self._frame(ARRAY, start, items_start, NULL_BODY, NULL_BODY)
+        array.items = []
+        if count:
+            array.end = INCOMPLETE
+            self._open_arrays.append((array, count))
+        return array
 
 
 def _read_length(line: bytes, limit: int, error: str) -> int:
--- a/gaugehinge/net/response_heads.py
+++ b/gaugehinge/net/response_heads.py
@@ -13,15 +13,16 @@
 from .http_exchange import END_OF_HEAD, RESPONSE_START
 
 STATUS = re.compile(rb"HTTP/1\.[01] (\d{3})")  # of a status line; a reason phrase may follow
-STATUS_BYTES = len(b"HTTP/1.1 200")
+STATUS_BYTES = 12  # that it matches
 # A name as defined by RFC 9110 and a value, or the continuation of a folded line.
 HEADER_LINE = re.compile(rb"(?:[!#$%&'*+.^`|~\w-]+:|[ \t])[^\n]*")
 CUT_HEADER_LINE = re.compile(rb"[!#$%&'*+.^`|~\w-]*(?::[^\n]*)?|[ \t][^\n]*")
 # A length with more digits counts as missing: no server sends a body that long.
 LENGTH_LINE = re.compile(rb"(?i)content-length:[ \t]*(\d{1,20})(?!\d)")
-PRINTABLE_BYTES = b"\t" + bytes(range(0x20, 0x7F))
 PRINTABLE = re.compile(rb"[\t -~]*")
-REASON_PHRASE_BYTES = PRINTABLE_BYTES + bytes(range(0x80, 0x100))
+# The last byte of a line that rules out a printable line or a reason phrase, with what follows it.
+NON_PRINTABLE_END = re.compile(rb"[^\t -~][\t -~]*\Z")
+NON_REASON_PHRASE_END = re.compile(rb"[^\t -~\x80-\xff][\t -~\x80-\xff]*\Z")
 
 
 class ResponseShape(NamedTuple):
@@ -86,8 +87,8 @@
     start = line.find(RESPONSE_START)
     if start < 0:
         return
-    printable_from = len(line.rstrip(PRINTABLE_BYTES)) if is_cut else len(line)
-    phrase_from = len(line.rstrip(REASON_PHRASE_BYTES)) if is_cut else line.rfind(b"\r", start) + 1
+    printable_from = _end_begins(NON_PRINTABLE_END, line, start) if is_cut else len(line)
+    phrase_from = _end_begins(NON_REASON_PHRASE_END, line, start) if is_cut else line.rfind(b"\r", start) + 1
     while start >= 0:
         status = STATUS.match(line, start, start + STATUS_BYTES)
         if is_cut:
@@ -99,6 +100,12 @@
         start = line.find(RESPONSE_START, start + 1)
 
 
+def _end_begins(pattern: re.Pattern[bytes], line: bytes, start: int) -> int:
+    """Return the position behind the byte that an end of the line follows; `start` without such a byte."""
+    end = pattern.search(line, start)
+    return end.start() + 1 if end else start
+
+
 def _is_header_line(line: bytes, is_cut: bool) -> bool:
     """Whether a line belongs to a head, or, if it is cut off, may be the first part of one that does."""
     if is_cut:
--- a/gaugehinge/net/response_memory.py
+++ b/gaugehinge/net/response_memory.py
@@ -38,7 +38,7 @@
         is_reused = self._count > 0
         self._count += 1
         body, shape = response.body, ResponseShape(response.status, len(response.body))
-        is_repeated = self._remembered.add(b"%d %b" % (response.status, body))
+        is_repeated = self._remembered.add(b"%d " % response.status, body)
         cause = self._doubt(response, shape, is_repeated) if is_reused else None
         self._remembered.add(shape.key())
         return cause
--- a/tests/scanned_bytes.py
+++ b/tests/scanned_bytes.py
@@ -73,6 +73,10 @@
     def fullmatch(self, text, start=0, end=1 << 60):
         return self._count(self.pattern.fullmatch(text, start, end), text, start, end)
 
+    def sub(self, replacement, text):
+        self.scan.count += len(text)
+        return self.pattern.sub(replacement, text)
+
 
 def scan_patterns(monkeypatch, module, scan: Scan) -> None:
     """Count the searches of all patterns of a module."""
--- a/tests/test_long_responses.py
+++ b/tests/test_long_responses.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from gaugehinge.net import response_memory
+from gaugehinge.net import http_exchange, resp, response_memory
+from gaugehinge.net.codec import MalformedReply
 from gaugehinge.net.http_exchange import HttpResponse
 from gaugehinge.net.response_heads import shapes_within
 from gaugehinge.net.response_memory import ResponseMemory
@@ -92,3 +93,57 @@
         else:
             assert shapes_within(body) == shapes, body
     assert found > BODIES / 4
+
+
+class CountingBuffer(bytearray):
+    """A buffer that counts the bytes that slices copy."""
+
+    copied = 0
+
+    def __getitem__(self, index):
+        found = super().__getitem__(index)
+        if isinstance(index, slice):
+            CountingBuffer.copied += len(found)
+        return found
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_a_long_value_is_not_copied_for_each_piece_behind_it(monkeypatch, size):
+    """Guards against a reply whose last items come byte by byte, each of which copied the value before."""
+    monkeypatch.setattr(resp, "bytearray", CountingBuffer, raising=False)
+    monkeypatch.setattr(CountingBuffer, "copied", 0)
+    parser = resp.Parser(SIZES[-1])
+    parser.feed(b"*16\r\n" + resp.bulk(b"v" * size))
+    for byte in (b"+" + b"x" * 900 + b"\r\n") * 15:
+        assert parser.next() is None
+        parser.feed(bytes([byte]))
+    message = parser.next()
+    assert len(message.top.body) == 16 and message.top.body[0].body == b"v" * size
+    assert CountingBuffer.copied <= 2 * len(message.raw)
+
+
+def test_a_head_in_pieces_is_searched_once(monkeypatch):
+    """Guards against a search of the whole head for each byte of it."""
+    scan, exchange = Scan(), http_exchange.HttpExchange(1000)
+    scan_patterns(monkeypatch, http_exchange, scan)
+    exchange.request("GET", "/k", [(b"Host", b"h")])
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nX-A: %b\r\n\r\n" % (b"x" * 20_000)
+    for start in range(len(head)):
+        assert exchange.receive(head[start : start + 1]) is None
+    assert exchange.receive(b"v").body == b"v"
+    assert scan.count <= 6 * len(head)
+
+
+@pytest.mark.parametrize("piece", [1, 1000, 1 << 20])
+def test_interim_responses_are_skipped_and_too_many_refused(piece):
+    """Guards against responses that each copy what follows and take a further level of the stack."""
+    interim, final = b"HTTP/1.1 100 Continue\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv"
+    exchange = http_exchange.HttpExchange(1000)
+    exchange.request("GET", "/k", [(b"Host", b"h")])
+    data = interim * http_exchange.MAX_INTERIM_RESPONSES + final
+    pieces = [data[start : start + piece] for start in range(0, len(data), piece)]
+    responses = [exchange.receive(each) for each in pieces]
+    assert responses[-1].body == b"v" and not any(responses[:-1])
+    exchange.request("GET", "/k", [(b"Host", b"h")])
+    with pytest.raises(MalformedReply):
+        exchange.receive(interim * 10_000)
