Bound what is received in part and what waits to be written by the memory limit

Cause: no limit counted a reply being received, replies behind clients that do not read, nor requests received in part; each reply was there up to four times as it ended; a settled fence kept its reply on an idle connection; the C library kept freed long pieces. Change: net/buffer_budget.py and net/receive_buffers.py: a reply over 16 KiB reserves its size before the rest is read and waits where there is no room; at the end of its operation's time the usual rules answer. Values go out of the operation's share of a tenth of the memory into this bound. Requests received in part count, over the bound they get -BUSY. net/heap.py fixes the C library's threshold for memory of its own. test_customers and test_own_lag: the receive call has a second argument; the same things are asked.

--- a/gaugehinge/cluster/front.py
+++ b/gaugehinge/cluster/front.py
@@ -196,16 +196,14 @@
             self.reply(client, b"-MOVED %d %b:%d\r\n" % (slot, target.host.encode(), target.port))
             return
         size = sum(len(key_command.encoded) + len(key_command.value or b"") for key_command in key_commands)
-        over_limit = self.limits.reserved_bytes + size > self.limits.max_reserved_bytes
         over_limit = (
-            over_limit
+            not self.limits.has_room_for_request(size)
             or len(self.dispatcher.pending_operations) + len(key_commands) > self.limits.max_in_flight
         )
         if over_limit or self.registry.is_over_limit(client) or self.is_overloaded():
             self.reply(client, BUSY_REPLY)  # not executed
             return
-        pending_reply = PendingReply(reserved_bytes=size)
-        self.limits.reserved_bytes += size
+        pending_reply = self.limits.reserve_request(size)
         client.pending_replies.append(pending_reply)
         pending_command = PendingCommand(
             spec, key_commands, [None] * len(key_commands), len(key_commands), principal
@@ -330,9 +328,7 @@
             if pending_command.remaining:
                 return
             pending_reply.operation_handle = None
-            pending_reply.data = merge_replies(pending_command.spec, pending_command.replies)
-            self.limits.reserved_bytes += len(pending_reply.data) - pending_reply.reserved_bytes
-            pending_reply.reserved_bytes = len(pending_reply.data)
+            self.limits.set_reply(pending_reply, merge_replies(pending_command.spec, pending_command.replies))
             if client.backlog and self.registry.is_open(client):
                 self._start_backlog(client)
             self.reply_writer.flush(client)
--- a/gaugehinge/cluster/resp3.py
+++ b/gaugehinge/cluster/resp3.py
@@ -108,6 +108,10 @@
 
     def __init__(self, limits: Limits = CLIENT_LIMITS) -> None:
         self.limits = limits
+        self.clear()
+
+    def clear(self) -> None:
+        """Discard what was received of the incomplete message and behind it."""
         self._buffer = bytearray()
         self._position = 0  # of the next unparsed byte; the current message begins at 0
         self._bytes_needed = 0  # buffer length without which the next frame cannot be parsed
@@ -117,6 +121,11 @@
     def __len__(self) -> int:
         return len(self._buffer)
 
+    @property
+    def expected_bytes(self) -> int:
+        """Length of the incomplete message as far as it is known: what arrived and the string announced."""
+        return max(len(self._buffer), self._bytes_needed)
+
     def feed(self, data: bytes) -> None:
         """Append received bytes."""
         self._buffer += data
--- a/gaugehinge/cluster/server_codec.py
+++ b/gaugehinge/cluster/server_codec.py
@@ -19,6 +19,7 @@
 READONLY = command(b"READONLY")
 FENCE_COMMAND = command(b"PING")  # follows a request on a reused connection; `+OK` could be a SET's reply
 FENCE_STATUS = b"PONG"
+BYTES_PER_RECEIVED_BYTE = 2  # a reply is kept raw and parsed
 # Codes after which the command was not executed: the server is busy, loading, a replica or without a map, the
 # slot is migrating, or memory, disk or replicas are short.
 REJECTION_CODES = frozenset(
@@ -86,6 +87,11 @@
         connection.trailing_bytes = len(fence)
         return request + fence
 
+    def expected_bytes(self, connection: Connection) -> int:
+        """Return the memory of the reply being received: its bytes, and the values parsed from them."""
+        state: ConnectionState = connection.codec_state
+        return BYTES_PER_RECEIVED_BYTE * state.reader.expected_bytes
+
     def decode(self, connection: Connection, data: bytes) -> ServerReply | None:
         """Take received bytes, or b"" at the end of the stream; returns the reply once it is complete.
 
--- a/gaugehinge/net/client_connection.py
+++ b/gaugehinge/net/client_connection.py
@@ -23,7 +23,8 @@
     operation_handle: Any = None  # handle of the request's operation while it is in flight
     request_id: bytes = b""
     data: bytes | None = None  # None until the reply is known
-    reserved_bytes: int = 0  # counted against the memory limit
+    request_bytes: int = 0  # counted against the limit for requests, until the reply is known
+    reply_bytes: int = 0  # counted against the budget for replies, from then on
 
 
 @dataclass(slots=True, eq=False)
@@ -48,6 +49,7 @@
     recheck_timer: Timer | None = None  # next idle check while the connection is over the connection limit
     draining: bool = False  # no further request is handled; it is closed when all replies are written
     closing_after_reply: bool = False  # like draining, but closed immediately, with nothing more read
+    unparsed_bytes: int = 0  # that its parser holds, as counted against the budget for buffers
     discarded_bytes: int = 0  # bytes that arrived while draining
     idle_since: float = 0.0
     message_started_at: float = 0.0  # arrival time of the first byte that the parser holds
--- a/gaugehinge/net/client_limits.py
+++ b/gaugehinge/net/client_limits.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-# Share of the memory for requests and replies; buffers and connections need more than these.
+from .buffer_budget import BufferBudget
+from .client_connection import PendingReply
+
+# Share of the memory for the requests of operations in flight.
 RESERVED_MEMORY_FRACTION = 0.1
 MEMORY_PER_OPERATION = 64 * 1024  # bytes of an operation in flight, with its tasks and share of the buffers
 # The connection limit divided by this is accepted beyond the limit, so that requests there can be rejected.
@@ -11,16 +14,20 @@
 
 
 class ClientLimits:
-    """The limits of one front, and the memory reserved by its requests and replies.
+    """The limits of one front, and the memory that its requests and replies hold.
 
     Sizes are in bytes. The limits can change at run time; existing reservations are kept.
     """
 
-    def __init__(self, max_in_flight: int, max_connections: int, memory: int) -> None:
+    def __init__(
+        self, max_in_flight: int, max_connections: int, memory: int, buffer_budget: BufferBudget
+    ) -> None:
         """Set the limits.
 
         `max_in_flight`: the most operations in flight that the settings allow, whatever the memory.
+        `buffer_budget` is shared by all fronts and the connections to servers.
         """
+        self.buffer_budget = buffer_budget
         self._configured_in_flight = max_in_flight
         self.reserved_bytes = 0
         self.update(max_connections, memory)
@@ -36,3 +43,26 @@
     def max_accepted(self) -> int:
         """Maximum number of accepted connections. Requests on those over `max_connections` are rejected."""
         return self.max_connections + self.spare_connections
+
+    def has_room_for_request(self, size: int) -> bool:
+        """Whether a request of `size` bytes may be accepted, beside the requests and replies in hand."""
+        has_room = self.reserved_bytes + size <= self.max_reserved_bytes
+        return has_room and not self.buffer_budget.is_exceeded
+
+    def reserve_request(self, size: int) -> PendingReply:
+        """Count an accepted request of `size` bytes; returns its place in the order of replies."""
+        self.reserved_bytes += size
+        return PendingReply(request_bytes=size)
+
+    def set_reply(self, pending_reply: PendingReply, data: bytes) -> None:
+        """Set the reply to a request, and count it in place of the request."""
+        self.release(pending_reply)
+        pending_reply.data = data
+        pending_reply.reply_bytes = len(data)
+        self.buffer_budget.hold(len(data))
+
+    def release(self, pending_reply: PendingReply) -> None:
+        """Release what a request or its reply holds, when the reply is written or the client has left."""
+        self.reserved_bytes -= pending_reply.request_bytes
+        self.buffer_budget.release(pending_reply.reply_bytes)
+        pending_reply.request_bytes = pending_reply.reply_bytes = 0
--- a/gaugehinge/net/client_server.py
+++ b/gaugehinge/net/client_server.py
@@ -65,7 +65,9 @@
         self.timers = dispatcher.timers
         self.clock = dispatcher.clock
         self.nursery = nursery
-        self.limits = ClientLimits(settings.max_in_flight, max_connections, memory)
+        self.limits = ClientLimits(
+            settings.max_in_flight, max_connections, memory, dispatcher.pool.buffer_budget
+        )
         self.request_ids = RecentRequestIds(self.clock)
         self.request_parser = self.new_request_parser()
         self.registry = ConnectionRegistry(self.timers, self.limits, self.abandon_reply)
@@ -220,7 +222,7 @@
             )
         return (
             client.over_limit
-            or limits.reserved_bytes + size > limits.max_reserved_bytes
+            or not limits.has_room_for_request(size)
             or len(self.dispatcher.pending_operations) >= limits.max_in_flight
             or self.is_overloaded()
         )
@@ -236,17 +238,15 @@
         self, client: ClientConnection, operation: Operation, payload: RequestPayload, size: int
     ) -> None:
         limits, request_ids = self.limits, self.request_ids
-        pending_reply = PendingReply(reserved_bytes=size, request_id=payload.ident)
+        pending_reply = limits.reserve_request(size)
+        pending_reply.request_id = payload.ident
         request_ids.add(payload.ident)
-        limits.reserved_bytes += size
         client.pending_replies.append(pending_reply)
 
         def answer(data: bytes) -> None:
             request_ids.close(payload.ident)
             pending_reply.operation_handle = None
-            pending_reply.data = data
-            limits.reserved_bytes += len(data) - pending_reply.reserved_bytes
-            pending_reply.reserved_bytes = len(data)
+            limits.set_reply(pending_reply, data)
             self.reply_writer.flush(client)
 
         if self.admission_control is None:
--- a/gaugehinge/net/codec.py
+++ b/gaugehinge/net/codec.py
@@ -82,6 +82,9 @@
         Sets `connection.trailing_bytes` if bytes follow the request that the server does not need to run it.
         """
 
+    def expected_bytes(self, connection: Connection) -> int:
+        """Return the memory that the reply being received needs, as far as its first bytes tell."""
+
     def decode(self, connection: Connection, data: bytes) -> ServerReply | None:
         """Take received bytes, or b"" at the end of the stream; return the reply once it is complete.
 
--- a/gaugehinge/net/connection.py
+++ b/gaugehinge/net/connection.py
@@ -6,7 +6,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import trio
+
 from ..routing.types import Attempt
+from .buffer_budget import Reservation
 from .codec import Codec, RequestPayload
 from .configuration import Address
 from .timer_queue import Timer
@@ -27,6 +30,10 @@
     connect_started: bool = False  # whether its task has started to connect it
     is_up: bool = False  # whether its task has seen it established
     closed: bool = False
+    expected_bytes: int = 0  # of the reply being received, if memory was reserved for it
+    reserved_bytes: int = 0  # of memory, for that reply
+    memory_reservation: Reservation | None = None  # waits for room; nothing is read meanwhile
+    memory_granted: trio.Event = field(default_factory=trio.Event)  # set when that wait ends
 
 
 @dataclass(slots=True, eq=False)
@@ -52,5 +59,6 @@
     codec: Codec
     deadline: float  # seconds of the pool's clock; the attempt times out then
     own_lag: float  # seconds of its duration that this router itself caused
+    memory_wait: float = 0.0  # seconds for which its reply waited for room in memory
     timer: Timer = field(init=False)  # fires at the deadline; set when the pool starts the attempt
     connection: Connection | None = None  # None before it has one and after it gave it up
--- a/gaugehinge/net/connection_pool.py
+++ b/gaugehinge/net/connection_pool.py
@@ -13,11 +13,13 @@
 from loguru import logger
 
 from ..routing.types import Attempt, EndpointState, Outcome
+from .buffer_budget import BufferBudget
 from .codec import Codec, ConnectionLost, DoubtfulReply, MalformedReply, RequestPayload
 from .connection import Connection, PendingAttempt, ServerPool
 from .connection_reuse import may_keep, may_reuse, on_doubtful_reply
 from .endpoint_list import EndpointListUpdate
 from .extensions import Extensions
+from .receive_buffers import ReceiveBuffers
 from .sockets import (
     acknowledgement_age,
     connect,
@@ -88,12 +90,16 @@
         self.timers = timers
         self.clock = timers.clock
         self.max_connections = max_connections
+        self.buffer_budget = BufferBudget()
+        self.receive_buffers = ReceiveBuffers(self.buffer_budget, self.clock)
         self.connect_timeout = connect_timeout
         self.max_idle_time = IDLE_TIMEOUT_FRACTION * server_idle_timeout
         self.on_attempt_ended = on_attempt_ended
         self.endpoints: dict[int, ServerPool] = {}  # by endpoint number, as discovery lists them
         self.pending: dict[Attempt, PendingAttempt] = {}  # until the attempt has ended
         self.open_connections = 0
+        self.memory_timeouts = 0  # attempts whose replies found no room in memory
+        self._next_memory_log_at = 1  # such attempts
         self.exhausted = False  # whether no connection was available within the limit, as last logged
         self.install(Extensions())
         self._sweep()
@@ -170,15 +176,43 @@
         time were discarded, and healthy servers were ejected.
         """
         connection = pending.connection
-        while connection is not None and _has_unread_reply(connection):
+        while connection is not None and _has_unread_reply(connection) and not _waits_for_memory(connection):
             self._receive_now(connection)
             connection = pending.connection
         if pending.attempt not in self.pending:
             return
+        if connection is not None and _waits_for_memory(connection):
+            self._on_memory_timeout(pending)
+            return
         not_sent = Outcome.NOT_SENT if _connect_not_observed(connection) else Outcome.CONNECT_FAILED
         sent = self._abandon(pending)
         self._end(pending, Outcome.TIMED_OUT if sent else not_sent)
 
+    def _reserve_memory(self, connection: Connection, pending: PendingAttempt) -> None:
+        """Reserve memory for the reply being received. Raises MalformedReply if the reply is too long.
+
+        While the reply waits for room, the attempt keeps all of its operation's time: the server has replied,
+        and another attempt's reply would wait as well.
+        """
+        expected_bytes = pending.codec.expected_bytes(connection)
+        if self.receive_buffers.reserve(connection, expected_bytes):
+            return
+        self.timers.cancel(pending.timer)
+        pending.deadline = pending.attempt.operation.deadline
+        pending.timer = self.timers.call_at(pending.deadline, self._on_timeout, pending)
+
+    def _on_memory_timeout(self, pending: PendingAttempt) -> None:
+        """End an attempt whose reply found no room in memory in its operation's time.
+
+        The server is not at fault, and it may have run the attempt.
+        """
+        self._abandon(pending)
+        self.memory_timeouts += 1
+        if self.memory_timeouts >= self._next_memory_log_at:
+            self._next_memory_log_at *= 2
+            logger.warning("replies given up for lack of memory: {}", self.memory_timeouts)
+        self._end(pending, Outcome.CANCELLED)
+
     def _abandon(self, pending: PendingAttempt) -> bool:
         """Close an attempt's connection; returns whether the attempt had been sent.
 
@@ -212,7 +246,7 @@
             return
         connection.request_sent = sent >= len(data) - connection.trailing_bytes
         if sent < len(data):
-            self.nursery.start_soon(self._send_rest, connection, pending, data[sent:])
+            self.nursery.start_soon(self._send_rest, connection, pending, memoryview(data)[sent:])
 
     def _may_start(self, connection: Connection, pending: PendingAttempt) -> bool:
         """Whether an attempt may still start on a connection that is now established.
@@ -243,7 +277,7 @@
                 return False
         return True
 
-    async def _send_rest(self, connection: Connection, pending: PendingAttempt, rest: bytes) -> None:
+    async def _send_rest(self, connection: Connection, pending: PendingAttempt, rest: memoryview) -> None:
         """Write the bytes that did not fit at once. The connection's reader notices when it ends."""
         try:
             while rest:
@@ -280,7 +314,8 @@
         if self.pending.pop(pending.attempt, None) is None:
             return
         self.timers.cancel(pending.timer)
-        elapsed = max(self.clock() - pending.attempt.sent_at - pending.own_lag, 0.0)
+        delay = pending.own_lag + pending.memory_wait  # not the server's
+        elapsed = max(self.clock() - pending.attempt.sent_at - delay, 0.0)
         try:
             self.on_attempt_ended(pending.attempt, outcome, elapsed, value, reported_load, pending.own_lag)
         except Exception:  # a defect fails this attempt only
@@ -391,15 +426,16 @@
 
     async def _read(self, connection: Connection) -> None:
         while not connection.closed:
-            data = await receive(connection.sock)
+            data = await receive(connection.sock, self.receive_buffers.read_limit(connection))
             self._on_data(connection, data)
             if not data:
                 break
+            await self.receive_buffers.wait(connection)
 
     def _receive_now(self, connection: Connection) -> None:
         """Read what has arrived on a connection, without waiting for its task to run."""
         try:
-            data = receive_now(connection.sock)
+            data = receive_now(connection.sock, self.receive_buffers.read_limit(connection))
             self._on_data(connection, data)
         except Exception as error:
             self._on_connection_ended(connection, error)
@@ -416,15 +452,18 @@
         reply = pending.codec.decode(connection, data)
         if reply is None:
             _send_fence(connection)
+            self._reserve_memory(connection, pending)
             return
         if self._is_loop_late():
             pending.own_lag += input_age(connection.sock)
         connection.pending = pending.connection = None
+        reserved_bytes = self.receive_buffers.detach(connection)
         if reply.reusable and data:
             self._release(connection)
         else:
             self._close(connection)
         self._end(pending, reply.outcome, reply.value, reply.reported_load)
+        self.buffer_budget.release(reserved_bytes)  # from now on the client's connection holds the reply
 
     def _is_loop_late(self) -> bool:
         """Whether the event loop is so late that the kernel is asked how long data waited to be read.
@@ -482,6 +521,7 @@
         if not connection.closed:
             connection.closed = True
             self.open_connections -= 1
+            self.receive_buffers.release(connection)
             if self.connection_budget is not None:
                 self.connection_budget.closed(connection)
             shut(connection.sock)
@@ -505,6 +545,11 @@
     return connection.request_sent and not connection.closed and not silent(connection.sock)
 
 
+def _waits_for_memory(connection: Connection) -> bool:
+    """Whether a reply is not read any further until there is room for it in memory."""
+    return connection.memory_reservation is not None
+
+
 def _connect_not_observed(connection: Connection | None) -> bool:
     """Whether connecting has not started, or has succeeded, and the task has not run since."""
     if connection is None or connection.is_up:
--- a/gaugehinge/net/connection_registry.py
+++ b/gaugehinge/net/connection_registry.py
@@ -42,10 +42,12 @@
         if self.reader is not None:
             self.reader.unwatch(client)
         for pending_reply in client.pending_replies:
-            self.limits.reserved_bytes -= pending_reply.reserved_bytes
+            self.limits.release(pending_reply)
             if pending_reply.operation_handle is not None:
                 self._abandon_reply(pending_reply)
         client.pending_replies.clear()
+        self.limits.buffer_budget.release(client.unparsed_bytes)
+        client.unparsed_bytes = 0
         shut(client.sock)
 
     def close_soon(self, client: ClientConnection) -> None:
--- a/gaugehinge/net/origin_codec.py
+++ b/gaugehinge/net/origin_codec.py
@@ -59,6 +59,11 @@
         state: OriginConnectionState = connection.codec_state
         return state.exchange.request(method, target, headers, payload.value)
 
+    def expected_bytes(self, connection: Connection) -> int:
+        """Return the size of the response being received, as far as it is known."""
+        state: OriginConnectionState = connection.codec_state
+        return state.exchange.expected_bytes
+
     def decode(self, connection: Connection, data: bytes) -> ServerReply | None:
         """Return the reply once complete. Raises ConnectionLost or DoubtfulReply, see `Codec.decode`."""
         state: OriginConnectionState = connection.codec_state
--- a/gaugehinge/net/reply_fence.py
+++ b/gaugehinge/net/reply_fence.py
@@ -58,7 +58,8 @@
             if self._reply is None:
                 raise MalformedReply("no reply before the one to the fence")
             self.is_armed = False
-            return self._reply
+            reply, self._reply = self._reply, None  # an idle connection would keep a long reply in memory
+            return reply
         if self._reply is None:
             self._reply = message
             return None
--- a/gaugehinge/net/request_reader.py
+++ b/gaugehinge/net/request_reader.py
@@ -10,11 +10,14 @@
 
 from .client_connection import ClientConnection
 from .connection_registry import ConnectionRegistry
+from .dispatcher import BUSY_REPLY
 from .reply_writer import ReplyWriter
 from .resp import Malformed
 from .sockets import hung_up, receive
 
 MAX_PIPELINED_REQUESTS = 32  # in flight on one connection; with this many, reading from it is suspended
+MAX_READ_BYTES = 64 * 1024  # in one step of the event loop
+MAX_UNCOUNTED_BYTES = 4 * 1024  # of a request; an incomplete one up to this size is never rejected
 MAX_DISCARDED_BYTES = 256 * 1024  # discarded after an error or the last request; with more, reading stops
 
 
@@ -63,7 +66,7 @@
         reset, and the last reply may be lost. Their number is limited, since reading all of a value of many
         megabytes takes as long as hundreds of operations.
         """
-        while data := await receive(client.sock):
+        while data := await receive(client.sock, MAX_READ_BYTES):
             self.data_received(client, data)
             if client.discarded_bytes > MAX_DISCARDED_BYTES:
                 await trio.sleep_forever()  # until pending replies are written and the linger time is over
@@ -104,6 +107,11 @@
             self.registry.close_soon(client)
             return
         client.paused = False
+        self._handle_requests(client)
+        if self.registry.is_open(client):
+            self._count_unparsed_bytes(client)
+
+    def _handle_requests(self, client: ClientConnection) -> None:
         try:
             while not client.draining:
                 if client.authenticating or len(client.pending_replies) >= MAX_PIPELINED_REQUESTS:
@@ -117,3 +125,23 @@
         except Malformed as error:
             client.draining = True
             self.reply_writer.reply(client, b"-ERR protocol: %b\r\n" % str(error).encode())
+
+    def _count_unparsed_bytes(self, client: ClientConnection) -> None:
+        """Count what a connection's parser holds; reject its incomplete request if memory is short.
+
+        The request has not run, so a retry is harmless.
+        """
+        budget, size = self.registry.limits.buffer_budget, len(client.parser)
+        if (
+            size > MAX_UNCOUNTED_BYTES
+            and not client.paused
+            and not client.draining
+            and budget.is_nearly_exceeded
+        ):
+            client.draining = True
+            client.parser.clear()
+            size = 0
+            self.reply_writer.reply(client, BUSY_REPLY)
+        if size != client.unparsed_bytes:
+            budget.hold(size - client.unparsed_bytes)
+            client.unparsed_bytes = size
--- a/gaugehinge/net/resource_limits.py
+++ b/gaugehinge/net/resource_limits.py
@@ -23,4 +23,5 @@
         clients.set_limits(max_connections, configuration.memory // count)
         remaining -= clients.limits.max_accepted
     server_connections = min(int(configuration.sockets * SERVER_SHARE), remaining)
+    pool.buffer_budget.update(configuration.memory)
     pool.set_limit(max(server_connections, MIN_SERVER_CONNECTIONS))
--- a/gaugehinge/net/resp_codec.py
+++ b/gaugehinge/net/resp_codec.py
@@ -85,6 +85,11 @@
         labels = payload.labels_with(remaining_time)
         return b"%b$%d\r\n%b\r\n%b" % (payload.command_head, len(labels), labels, payload.command_tail)
 
+    def expected_bytes(self, connection: Connection) -> int:
+        """Return the size of the reply being received, as far as it is known."""
+        state: RespConnectionState = connection.codec_state
+        return state.parser.expected_bytes
+
     def decode(self, connection: Connection, data: bytes) -> ServerReply | None:
         """Return the reply once it is complete. Raises ConnectionLost or MalformedReply, see `Codec.decode`.
 
--- a/gaugehinge/net/run.py
+++ b/gaugehinge/net/run.py
@@ -11,6 +11,7 @@
 from .client_server import ClientServer
 from .configuration import Configuration
 from .extensions import ExtensionBuilder
+from .heap import return_long_allocations
 from .service import AdmissionControlBuilder, Service
 from .signals import EarlyHangup
 
@@ -32,6 +33,7 @@
 
     The parameters are those of `Service`.
     """
+    return_long_allocations()
     gc.freeze()
     gc.set_threshold(YOUNG_GENERATION_THRESHOLD, OLDER_GENERATION_THRESHOLD, OLDER_GENERATION_THRESHOLD)
     service = Service(
--- a/gaugehinge/net/sockets.py
+++ b/gaugehinge/net/sockets.py
@@ -25,6 +25,7 @@
 SIOCOUTQNSD = 0x894B  # linux/sockios.h: ioctl for the number of bytes in the send queue that are not sent yet
 # A buffer of this size receives long values in few calls. All sockets share it: no task waits while using it.
 RECEIVE_BUFFER = memoryview(bytearray(256 * 1024))
+WHOLE_BUFFER = 0  # for `recv_into`: as many bytes as the buffer has
 
 
 def family(address: Address) -> socket.AddressFamily:
@@ -59,26 +60,26 @@
     await trio.socket.from_stdlib_socket(sock).connect(address)
 
 
-async def receive(sock: socket.socket) -> bytes:
-    """Wait for data and return it; b"" at the end of the stream.
+async def receive(sock: socket.socket, max_bytes: int = WHOLE_BUFFER) -> bytes:
+    """Wait for data and return up to `max_bytes` of it; b"" at the end of the stream.
 
     Raises OSError, or trio.ClosedResourceError if the socket was closed on this side.
     """
     while not is_closed(sock):
         await trio.lowlevel.wait_readable(sock)
         try:
-            return receive_now(sock)
+            return receive_now(sock, max_bytes)
         except BlockingIOError:
             continue
     raise trio.ClosedResourceError
 
 
-def receive_now(sock: socket.socket) -> bytes:
-    """Return unread data; b"" at the end of the stream.
+def receive_now(sock: socket.socket, max_bytes: int = WHOLE_BUFFER) -> bytes:
+    """Return up to `max_bytes` of unread data; b"" at the end of the stream.
 
     Raises OSError; BlockingIOError if there is no data.
     """
-    return bytes(RECEIVE_BUFFER[: sock.recv_into(RECEIVE_BUFFER)])
+    return bytes(RECEIVE_BUFFER[: sock.recv_into(RECEIVE_BUFFER, max_bytes)])
 
 
 def send_some(sock: socket.socket, data: bytes | memoryview) -> int:
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -810,7 +810,7 @@
     uses = [line.strip() for line in source.splitlines() if re.search(r"\bRECEIVE_BUFFER\b", line)]
     assert uses == [
         "RECEIVE_BUFFER = memoryview(bytearray(256 * 1024))",
-        "return bytes(RECEIVE_BUFFER[: sock.recv_into(RECEIVE_BUFFER)])",
+        "return bytes(RECEIVE_BUFFER[: sock.recv_into(RECEIVE_BUFFER, max_bytes)])",
     ]
     # The door's reader has the same space, and copies it in the same step.
     lines = (ROOT / "gaugehinge/admission/fair_reader.py").read_text().splitlines()
--- a/tests/test_own_lag.py
+++ b/tests/test_own_lag.py
@@ -279,10 +279,10 @@
 def test_an_unread_reply_is_accepted_at_the_deadline_although_its_task_has_not_run(monkeypatch, rest):
     sent, task_may_run = trio.Event(), trio.Event()
 
-    async def delayed_receive(sock):
+    async def delayed_receive(sock, max_bytes):
         await sent.wait()
         await task_may_run.wait()
-        return await sockets.receive(sock)
+        return await sockets.receive(sock, max_bytes)
 
     async def serve(stream):
         await stream.receive_some()
