Drop replies as they are written or given up: connections kept them in memory

Cause: behind a reply that was written in parts, the client's connection kept an empty view of all of it; its slot kept it too, as long as a task or callback knew the slot; a closed connection kept what it had received. Change: the slot, the rest and the received bytes are dropped as a reply is written and as a connection closes. Evidence: the new test failed on (6,000,072 bytes kept of replies that were written or given up) and passes now.

--- a/gaugehinge/net/client_limits.py
+++ b/gaugehinge/net/client_limits.py
@@ -62,7 +62,12 @@
         self.buffer_budget.hold(len(data))
 
     def release(self, pending_reply: PendingReply) -> None:
-        """Release what a request or its reply holds, when the reply is written or the client has left."""
+        """Release what a request or its reply holds, when the reply is written or the client has left.
+
+        The reply itself is dropped: tasks and callbacks may refer to `pending_reply` until the garbage
+        collector runs, which is rare.
+        """
+        pending_reply.data = None
         self.reserved_bytes -= pending_reply.request_bytes
         self.buffer_budget.release(pending_reply.reply_bytes)
         pending_reply.request_bytes = pending_reply.reply_bytes = 0
--- a/gaugehinge/net/connection_pool.py
+++ b/gaugehinge/net/connection_pool.py
@@ -520,6 +520,7 @@
     def _close(self, connection: Connection) -> None:
         if not connection.closed:
             connection.closed = True
+            connection.codec_state = None  # with what was received of a reply
             self.open_connections -= 1
             self.receive_buffers.release(connection)
             if self.connection_budget is not None:
--- a/gaugehinge/net/connection_registry.py
+++ b/gaugehinge/net/connection_registry.py
@@ -46,6 +46,8 @@
             if pending_reply.operation_handle is not None:
                 self._abandon_reply(pending_reply)
         client.pending_replies.clear()
+        client.unwritten = b""
+        client.parser.clear()
         self.limits.buffer_budget.release(client.unparsed_bytes)
         client.unparsed_bytes = 0
         shut(client.sock)
--- a/gaugehinge/net/reply_writer.py
+++ b/gaugehinge/net/reply_writer.py
@@ -129,6 +129,7 @@
     def _finish_reply(self, client: ClientConnection) -> None:
         """Remove the first pending reply, which is written, and resume a connection that was paused."""
         self.limits.release(client.pending_replies.popleft())
+        client.unwritten = b""  # an empty view would keep the whole reply in memory
         client.idle_since = self.clock()
         if client.paused and not client.authenticating:
             client.reply_written.set()
--- a/gaugehinge/net/resp.py
+++ b/gaugehinge/net/resp.py
@@ -36,6 +36,11 @@
     message: _Received
     items: list[Frame] | None = None  # of an array
 
+    @property
+    def is_null(self) -> bool:
+        """Whether the value is the null bulk string or array."""
+        return self.items is None and self.body_start == NULL_BODY
+
     @property
     def body(self) -> bytes | list[Frame] | None:
         """The value: a copy of its bytes, the items of an array, or None for a null.
@@ -44,7 +49,7 @@
         """
         if self.items is not None:
             return self.items
-        if self.body_start == NULL_BODY:
+        if self.is_null:
             return None
         return self.message.raw[self.body_start : self.body_end]
 
--- a/gaugehinge/net/resp_codec.py
+++ b/gaugehinge/net/resp_codec.py
@@ -173,7 +173,7 @@
     reported_load = _read_load(load)
     if value.kind != BULK or status.kind != BULK:
         raise MalformedReply("reply lacks a value or its status")
-    if value.body is None:
+    if value.is_null:  # its body would be a copy
         return ServerReply(Outcome.CACHE_MISS, reported_load=reported_load)
     return ServerReply(Outcome.SUCCEEDED, message.part(value), reported_load=reported_load)
 
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -1,5 +1,6 @@
 """What is received in part, or waits to be written, stays within the memory limit; the rest is refused."""
 
+import gc
 import itertools
 
 import pytest
@@ -7,7 +8,9 @@
 
 from gaugehinge.net import connection_pool, request_reader
 from gaugehinge.net.buffer_budget import MAX_SHORT_REPLY_BYTES, BufferBudget
+from gaugehinge.net.client_connection import ClientConnection, PendingReply
 from gaugehinge.net.resp import MAX_REPLY_BYTES, bulk
+from gaugehinge.net.resp_codec import RespConnectionState
 from tests.helper import Cache, Client, fleet, run
 
 MEGABYTE = 1 << 20
@@ -274,6 +277,49 @@
     run(scenario)
 
 
+def retained_bytes() -> int:
+    """The bytes of all replies and of what was received of requests and replies, wherever they are kept."""
+    total = 0
+    for each in gc.get_objects():
+        if isinstance(each, PendingReply):
+            total += len(each.data or b"")
+        elif isinstance(each, ClientConnection) and isinstance(each.unwritten, memoryview):
+            total += len(each.unwritten.obj)
+        elif isinstance(each, RespConnectionState | ClientConnection):
+            total += len(each.parser)
+    return total
+
+
+def test_replies_that_are_written_or_given_up_are_not_kept(tmp_path):
+    """Guards against replies kept by tasks and callbacks until the garbage collector runs."""
+
+    async def scenario():
+        async with fleet(tmp_path, [LongCache() for _ in range(4)]) as made:
+            allow_many(made)
+            readers = [await made.client() for _ in range(6)]
+            leavers = [await made.client() for _ in range(6)]
+            for n, client in enumerate([*readers, *leavers]):
+                for m in range(6):
+                    await client.send("KV.GET", f"key{n}", f"c{n}-{m}", "c=read,t=acme,d=8000")
+            await trio.sleep(0.5)  # until their replies fill the buffers of the kernel
+            for client in leavers:
+                await client.stream.aclose()
+            for n, client in enumerate(readers):
+                for _ in range(6):
+                    assert await client.answer() == bulk(value_of(b"key%d" % n))
+            with trio.fail_after(5):
+                while len(made.service.clients.connections) > len(readers) or made.service.pool.pending:
+                    await trio.sleep(0.05)
+            assert retained_bytes() < VALUE_BYTES
+
+    gc.collect()
+    gc.disable()
+    try:
+        run(scenario)
+    finally:
+        gc.enable()
+
+
 # -- the budget
 
 
