Keep a slot answered once its reply is dropped

Cause: set the reply of a released slot to None, which means unanswered: where the reply was given within submit, the handle of the operation was stored in the slot afterwards, and finished operations waited for the garbage collector. Change: the reply of a released slot is empty instead. Result: test_memory_limits and test_admission_control pass.

--- a/gaugehinge/net/client_limits.py
+++ b/gaugehinge/net/client_limits.py
@@ -67,7 +67,7 @@
         The reply itself is dropped: tasks and callbacks may refer to `pending_reply` until the garbage
         collector runs, which is rare.
         """
-        pending_reply.data = None
+        pending_reply.data = b""  # not None: it stays answered
         self.reserved_bytes -= pending_reply.request_bytes
         self.buffer_budget.release(pending_reply.reply_bytes)
         pending_reply.request_bytes = pending_reply.reply_bytes = 0
