Let a reply that is first read at its attempt's deadline wait for memory

What callers saw: nothing; found by reading. -BUSY for a value that was there, in the forced order. Cause: at an attempt's deadline unread replies are read in the timer's own step. Where one had to wait for memory then, the attempt's new deadline was not looked at, and it was given up at once. Change: it is given up only once the moved deadline is over. Evidence: the new test holds the reader back past the attempt's time with the memory taken; -BUSY 157 before, the value and one command at the servers now. Result: it passes; the whole suite follows.

--- a/gaugehinge/net/connection_pool.py
+++ b/gaugehinge/net/connection_pool.py
@@ -182,7 +182,8 @@
         if pending.attempt not in self.pending:
             return
         if connection is not None and _waits_for_memory(connection):
-            self._on_memory_timeout(pending)
+            if self.clock() >= pending.deadline:  # else the wait began just now and has moved the deadline
+                self._on_memory_timeout(pending)
             return
         not_sent = Outcome.NOT_SENT if _connect_not_observed(connection) else Outcome.CONNECT_FAILED
         sent = self._abandon(pending)
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from gaugehinge.net import connection_pool, request_reader
+from gaugehinge.net import connection_pool, request_reader, sockets
 from gaugehinge.net.buffer_budget import MAX_SHORT_REPLY_BYTES, BufferBudget
 from gaugehinge.net.client_connection import ClientConnection, PendingReply
 from gaugehinge.net.resp import MAX_REPLY_BYTES, bulk
@@ -277,6 +277,39 @@
     run(scenario)
 
 
+def test_a_reply_first_read_at_its_attempts_deadline_waits_for_memory_in_its_operations_time(
+    tmp_path, monkeypatch
+):
+    """Guards against an attempt that is given up, and made again, although its reply is there."""
+    reader_may_run = trio.Event()
+
+    async def delayed_receive(sock, max_bytes):
+        await reader_may_run.wait()
+        return await sockets.receive(sock, max_bytes)
+
+    async def scenario():
+        monkeypatch.setattr(connection_pool, "receive", delayed_receive)
+        caches = [LongCache(), LongCache()]
+        async with fleet(tmp_path, caches, peers=limits(64)) as made:
+            made.service.dispatcher.router.retries.attempt_timeout = lambda operation, now: 0.5
+            budget = made.service.pool.buffer_budget
+            taken = int(budget.capacity)
+            budget.hold(taken)
+
+            async def release() -> None:
+                await trio.sleep(1.0)
+                reader_may_run.set()
+                budget.release(taken)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(release)
+                answer = await (await made.client()).get("key", labels="c=read,t=acme,d=3000")
+            assert answer == bulk(value_of(b"key"))
+            assert sum(len(cache.commands) for cache in caches) == 1
+
+    run(scenario)
+
+
 def retained_bytes() -> int:
     """The bytes of all replies and of what was received of requests and replies, wherever they are kept."""
     total = 0
