Remember request ids by need: not of requests never sent, writes for their client's whole wait

Cause: all ids, of whatever length and also of requests that were refused unsent, were kept with their bytes for 2 to 4 s by count of rotations, and for no longer than that where the first try may have run.

--- a/gaugehinge/net/client_connection.py
+++ b/gaugehinge/net/client_connection.py
@@ -23,6 +23,7 @@
 
     operation_handle: Any = None  # handle of the request's operation while it is in flight
     request_id: bytes = b""
+    request: Any = None  # the `ParsedRequest` of an operation in flight
     data: bytes | None = None  # None until the reply is known
     request_bytes: int = 0  # counted against the limit for requests, until the reply is known
     reply_bytes: int = 0  # counted against the budget for buffers, from then on
@@ -57,12 +58,12 @@
     closing_after_reply: bool = False  # like draining, but closed immediately, with nothing more read
     unparsed_bytes: int = 0  # that its parser holds, as counted against the budget for buffers
     discarded_bytes: int = 0  # bytes that arrived while draining
-    idle_since: float = 0.0
     joins_replies: bool = False  # replies that are given at once are written later, together
     queued_reply_bytes: int = (
         0  # of replies that were given at once and wait behind those of earlier requests
     )
     received_at: float = 0.0  # when the last bytes were read
+    idle_since: float = 0.0
     message_started_at: float = 0.0  # arrival time of the first byte that the parser holds
     over_limit: bool = False  # its requests are rejected, and it is closed once idle
     client_id: bytes = b""  # identifies the client to admission control
--- a/gaugehinge/net/client_limits.py
+++ b/gaugehinge/net/client_limits.py
@@ -14,6 +14,17 @@
 MIN_SPARE_CONNECTIONS = 8
 
 
+def connections_without_spare(count: int) -> int:
+    """Return the limit on connections with which at most `count` are accepted, the spare ones included."""
+    return max(
+        min(
+            count * SPARE_CONNECTIONS_DIVISOR // (SPARE_CONNECTIONS_DIVISOR + 1),
+            count - MIN_SPARE_CONNECTIONS,
+        ),
+        1,
+    )
+
+
 class ClientLimits:
     """The limits of one front, and the memory that its requests and replies hold.
 
@@ -53,6 +64,7 @@
     def reserve_request(self, size: int) -> PendingReply:
         """Count an accepted request of `size` bytes; returns its place in the order of replies."""
         self.reserved_bytes += size
+        self.buffer_budget.hold(size)
         return PendingReply(request_bytes=size)
 
     def set_reply(self, pending_reply: PendingReply, data: bytes) -> None:
@@ -62,9 +74,13 @@
         pending_reply.reply_bytes = len(data)
         self.buffer_budget.hold(len(data))
 
+    def count_reply(self, pending_reply: PendingReply, size: int) -> None:
+        """Count `size` more bytes of a reply that waits to be written."""
+        pending_reply.reply_bytes += size
+        self.buffer_budget.hold(size)
+
     def release(self, pending_reply: PendingReply) -> None:
         """Release what a request or its reply holds, when the reply is written or the client has left.
-        self.buffer_budget.hold(size)
 
         The reply itself is dropped: tasks and callbacks may refer to `pending_reply` until the garbage
         collector runs, which is rare.
@@ -73,8 +89,3 @@
         self.reserved_bytes -= pending_reply.request_bytes
         self.buffer_budget.release(pending_reply.request_bytes + pending_reply.reply_bytes)
         pending_reply.request_bytes = pending_reply.reply_bytes = 0
-    def count_reply(self, pending_reply: PendingReply, size: int) -> None:
-        """Count `size` more bytes of a reply that waits to be written."""
-        pending_reply.reply_bytes += size
-        self.buffer_budget.hold(size)
-
--- a/gaugehinge/net/client_server.py
+++ b/gaugehinge/net/client_server.py
@@ -9,12 +9,10 @@
 
 import trio
 
-from ..routing.types import Operation
 from ..settings import Settings
 from .admission_control import AdmissionControl
 from .client_connection import ClientConnection, PendingReply
-from .client_limits import ClientLimits
-from .codec import RequestPayload
+from .client_limits import OPERATION_BYTES, ClientLimits
 from .connection_acceptor import ConnectionAcceptor
 from .connection_registry import ConnectionRegistry
 from .dispatcher import BUSY_REPLY, Dispatcher
@@ -111,6 +109,7 @@
     def set_limits(self, max_connections: int, memory: int) -> None:
         """Change the limits at run time; `memory` in bytes."""
         self.limits.update(max_connections, memory)
+        self.request_ids.set_memory(memory)
 
     async def accept(self, listening: socket.socket) -> None:
         """Accept connections until cancelled. At the connection limit, further ones wait in the backlog."""
@@ -189,7 +188,7 @@
         if client.is_held_back and request.client_waits_until <= self.clock():
             self._close_unanswered(client)
             return
-        operation, payload, _ = request
+        operation, payload = request.operation, request.payload
         client.tenant = operation.tenant
         # A write is there a second time while it is written to a server.
         size = payload.held_bytes * (2 if is_write else 1) + OPERATION_BYTES
@@ -201,7 +200,7 @@
                 BUSY_REPLY if admission_control is None else admission_control.overload_reply(operation),
             )
             return
-        self._submit(client, operation, payload, size)
+        self._submit(client, request, size)
 
     def parse_request(
         self, client: ClientConnection, message: Message, is_write: bool, arrived_at: float
@@ -226,6 +225,7 @@
         return (
             client.over_limit
             or not limits.has_room_for_request(size)
+            or self.request_ids.is_full()
             or len(self.dispatcher.pending_operations) >= limits.max_in_flight
             or self.is_overloaded()
         )
@@ -237,18 +237,20 @@
         """
         return self.is_overload(self.timers.current_lag)
 
-    def _submit(
-        self, client: ClientConnection, operation: Operation, payload: RequestPayload, size: int
-    ) -> None:
-        limits, request_ids = self.limits, self.request_ids
+    def is_overload(self, delay: float) -> bool:
+        """Whether a delay of requests, in seconds, means that new ones are rejected."""
+        return self.admission_control is None and delay > MAX_LOOP_DELAY
+
+    def _submit(self, client: ClientConnection, request: ParsedRequest, size: int) -> None:
+        operation, payload, limits = request.operation, request.payload, self.limits
         pending_reply = limits.reserve_request(size)
-        pending_reply.request_id = payload.ident
-        request_ids.add(payload.ident)
+        pending_reply.request_id = self.request_ids.add(payload.ident)
+        pending_reply.request = request
         client.pending_replies.append(pending_reply)
 
         def answer(data: bytes) -> None:
-            request_ids.close(payload.ident)
-            pending_reply.operation_handle = None
+            self._close_request_id(pending_reply, _may_have_been_sent(pending_reply))
+            pending_reply.operation_handle = pending_reply.request = None
             limits.set_reply(pending_reply, data)
             self.reply_writer.flush(client)
 
@@ -265,9 +267,18 @@
         Its ID stays in use while an attempt is in flight: when a client resent a non-repeatable operation in
         that time, it was executed a second time alongside the attempt.
         """
-        close_id = partial(self.request_ids.close, pending_reply.request_id)
+        close_id = partial(self._close_request_id, pending_reply, _may_have_been_sent(pending_reply))
         (self.admission_control or self.dispatcher).client_gone(pending_reply.operation_handle, close_id)
 
+    def _close_request_id(self, pending_reply: PendingReply, was_sent: bool) -> None:
+        request, request_id = pending_reply.request, pending_reply.request_id
+        if not was_sent:
+            self.request_ids.forget(request_id)
+        elif request.operation.is_write:
+            self.request_ids.close_write(request_id, request.client_waits_until)
+        else:
+            self.request_ids.close(request_id)
+
     def is_client_present(self, client: ClientConnection) -> bool:
         """Whether a client is still connected; checked before each attempt for it starts.
 
@@ -279,3 +290,9 @@
             return True
         self.registry.close_soon(client)
         return False
+
+
+def _may_have_been_sent(pending_reply: PendingReply) -> bool:
+    """Whether a server may know of the request of an operation in flight."""
+    operation = pending_reply.request.operation
+    return bool(operation.attempts) or operation.may_have_run_on is not None
--- a/gaugehinge/net/connection_registry.py
+++ b/gaugehinge/net/connection_registry.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
 
 from .admission_control import ConnectionReader
 from .client_connection import ClientConnection, PendingReply
 from .client_limits import ClientLimits
+from .dispatcher import BUSY_REPLY
 from .handle_table import HandleTable
-from .sockets import shut, silent, unsent
+from .sockets import send_some, shut, silent, unsent
 from .timer_queue import TimerQueue
 
 IDLE_GRACE = 0.05  # seconds without a request after which a connection that has sent one counts as idle
 NEW_CONNECTION_GRACE = 0.3  # seconds that a new connection has for its first request before it counts as idle
+# Seconds without a byte after which a client that is within a request may be closed for another client.
+STALL_GRACE = 0.3
 MIN_RECHECK_INTERVAL = 0.01  # seconds between two checks of a connection over the limit
 
 
@@ -28,11 +32,11 @@
         self.limits = limits
         self.connections: HandleTable[ClientConnection] = HandleTable()
         self.reader: ConnectionReader | None = None  # None: each connection is read by its own task
+        self.on_reply_written: Callable[[ClientConnection], None] = lambda client: None  # if it is paused
         self.idle_grace = IDLE_GRACE
         self._abandon_reply = abandon_reply
 
     def is_open(self, client: ClientConnection) -> bool:
-        self.on_reply_written: Callable[[ClientConnection], None] = lambda client: None  # if it is paused
         """Whether a connection is still open."""
         return self.connections.get(client.handle) is client
 
@@ -85,6 +89,22 @@
         self.shut_down(client)
         return True
 
+    def evict_stalled(self, client: ClientConnection) -> bool:
+        """Close a connection whose client has stopped within a request; returns whether it was closed.
+
+        The request has not run. Its client is told so, as far as the kernel takes the reply at once.
+        """
+        is_within_request = len(client.parser) and not (client.paused or client.pending_replies)
+        if client.draining or not is_within_request:
+            return False
+        stalled_since = max(client.received_at, client.accepted_at)
+        if self.clock() - stalled_since < STALL_GRACE or not silent(client.sock):
+            return False
+        with suppress(OSError):  # the client has disconnected
+            send_some(client.sock, BUSY_REPLY)
+        self.shut_down(client)
+        return True
+
     def is_over_limit(self, client: ClientConnection) -> bool:
         """Whether a connection has been over the limit ever since it was accepted."""
         client.over_limit = client.over_limit and len(self.connections) > self.limits.max_connections
--- a/gaugehinge/net/idle_reaper.py
+++ b/gaugehinge/net/idle_reaper.py
@@ -46,6 +46,8 @@
         self._next_search = 0.0
         self._eviction_order: Iterator[ClientConnection] = iter(())
         self._next_eviction_order = 0.0
+        self._stalled_order: Iterator[ClientConnection] = iter(())
+        self._next_stalled_order = 0.0
 
     def sweep(self) -> None:
         """Close connections past their timeouts, even with capacity left, and schedule the next sweep.
@@ -99,10 +101,20 @@
             return False
         if any(self.registry.close_if_idle(client) for client in self._candidates(now)):
             return True
+        if any(self.registry.evict_stalled(client) for client in self._longest_stalled(now)):
+            return True
         without_order = self.admission_control is None
         self._next_search = now + MIN_SEARCH_INTERVAL if without_order else self._next_eviction_order
         return False
 
+    def _longest_stalled(self, now: float) -> Iterator[ClientConnection]:
+        """Connections that have sent a part of a request, the one first that has sent nothing for longest."""
+        if now >= self._next_stalled_order:
+            within_request = [client for client in self.registry.connections if len(client.parser)]
+            self._stalled_order = iter(sorted(within_request, key=lambda client: client.received_at))
+            self._next_stalled_order = now + EVICTION_ORDER_LIFETIME
+        return self._stalled_order
+
     def _candidates(self, now: float) -> Iterator[ClientConnection]:
         """Connections to check for closing.
 
