Take a listed server for gone once another one is listed at its address

Cause: connections and endpoints are kept by uid; two listed servers with one address were both used, the list being the only one who tells them apart, and it tells the end of the former one later.

Change: net/address_owners.py, before the pool and the decisions hear a list: of several at one address the one that started last, or with equal starts the one that the list named last, stays; the others count as gone, until the list names them elsewhere. Two named at once with equal starts both stay, as nothing tells them apart.

--- a/gaugehinge/net/dispatcher.py
+++ b/gaugehinge/net/dispatcher.py
@@ -16,6 +16,7 @@
 from ..routing.router import Router
 from ..routing.types import Action, Attempt, BackgroundTask, Decision, Deployment, Operation, Outcome, Step
 from ..settings import read_reported_load
+from .address_owners import AddressOwners
 from .codec import Codec, RequestPayload
 from .connection_pool import ConnectionPool
 from .endpoint_list import EndpointListUpdate
@@ -66,6 +67,7 @@
         self.pending_operations: HandleTable[PendingOperation] = HandleTable()
         self.server_codec: Codec = RespCodec()
         self.origin_codec = OriginCodec()
+        self.address_owners = AddressOwners()
         self.pool: ConnectionPool
         self.watch_endpoints: Callable[[], None]
         self.send_gossip: Callable[[tuple[int, ...], bytes], None]
@@ -301,7 +303,8 @@
         self.follow_endpoints(update, cached)
 
     def follow_endpoints(self, update: EndpointListUpdate, cached: bool = False) -> None:
-        """Apply an endpoint list unchanged, bypassing all transformers."""
+        """Apply an endpoint list, bypassing all transformers."""
+        update = self.address_owners.apply(update)
         self.pool.on_endpoints_changed(update)
         entries = [target.entry for target in update.targets]
         self.router.on_endpoints_changed(entries, update.complete, cached, self.clock())
