Ask discovery for its whole list once a connection to it was lost

Cause: a connection that breaks between polls is opened again unseen (Watch._get_with_retry), and the next poll goes on from the known version.

Change: a broken or refused connection marks the version as doubtful; after the next answer the whole list is polled, 0.5 s later plus up to 0.15 s for each router of the tier, so that a large tier spreads its polls over 30 s as after a move.

--- a/gaugehinge/net/discovery.py
+++ b/gaugehinge/net/discovery.py
@@ -46,13 +46,14 @@
         seed: int = 0,
         local_agent: bool = False,
         drain_grace: float = 0.0,
+        router_count: int = 1,
     ) -> None:
         """Create a client; `start_watch` starts polling.
 
         `version` is that of the list that is already known; None polls the whole list first. `on_failure` is
         called when a watch has ended; `start_watch` begins the next one. `local_agent`: the list is pushed to
         an agent on this machine, which is polled again at once, whatever it answers. `drain_grace`: seconds
-        for which servers that have left the list may still be used.
+        for which servers that have left the list may still be used. `router_count`: of all that poll it.
         """
         self.nursery = nursery
         self.timers = timers
@@ -65,7 +66,8 @@
         self.moved = False  # to an address that has not answered yet; its version numbers may be unrelated
         self.newest_version = version  # of the lists that were accepted
         self._older_full_list_seen = False  # since the last list that was accepted
-        self._schedule = DiscoverySchedule(seed, local_agent)
+        self._may_be_restarted = False  # another process may answer, whose version numbers may be unrelated
+        self._schedule = DiscoverySchedule(seed, local_agent, router_count)
         self._drain_grace = drain_grace
         self._list_has_servers = version is not None  # whether the list in use names any
         self._empty_list_timer: Timer | None = None  # fires when a list without servers is accepted
@@ -99,6 +101,7 @@
     async def _run_watch(self, scope: trio.CancelScope) -> None:
         watch = Watch(self.address, self.timers)
         watch.drops_late_copies = self.local_agent
+        watch.on_connection_lost = self._on_connection_lost
         try:
             with scope:
                 await self._watch_and_reconnect(watch, scope)
@@ -157,6 +160,8 @@
             if scope.cancel_called:  # the list may have arrived just as the watch was cancelled
                 return WatchEnd(timed_out=False, answered=answered)
             answered = True
+            if self._may_be_restarted and not update.complete:
+                self._schedule.schedule_restart_check(self.timers.clock())
             if self._is_stale(update):
                 watch.close()
                 await trio.sleep(self._schedule.reconnect_delay())
@@ -174,13 +179,18 @@
         now = self.timers.clock()
         if self.version is None or now >= self._schedule.full_poll_at:
             self._schedule.postpone_full_poll(now)  # in case this poll fails
-            return await watch.poll(ENDPOINTS_PATH, timing.grace)
+            update = await watch.poll(ENDPOINTS_PATH, timing.grace)
+            self._may_be_restarted = False
+            return update
         wait = timing.wait
-        if not self._list_has_servers:
+        if not self._list_has_servers or self._may_be_restarted:
             wait = min(wait, max(self._schedule.full_poll_at - now, MIN_POLL_INTERVAL))
         target = f"{ENDPOINTS_PATH}?index={self.version}&wait={int(wait * 1000)}"
         return await watch.poll(target, wait + timing.grace)
 
+    def _on_connection_lost(self) -> None:
+        self._may_be_restarted = True
+
     def _on_poll_error(self, error: PollError | SettingsError) -> None:
         if isinstance(error, SettingsError):
             logger.warning("invalid endpoint list: {}", error)
--- a/gaugehinge/net/discovery_schedule.py
+++ b/gaugehinge/net/discovery_schedule.py
@@ -40,6 +40,10 @@
 # discovery half a minute.
 FULL_POLL_DELAY = 5.0
 FULL_POLL_JITTER = 30.0
+# A lost connection may mean another process at discovery's address. The whole list is then polled after this
+# delay plus a fraction of the time that discovery needs for the lists of all routers.
+RESTART_CHECK_DELAY = 0.5
+RESTART_CHECK_SPACING = 0.15  # for each router
 AGENT_RETRY_DELAY = 0.1  # after a failed poll of an agent on this machine, whose list counts as notified
 # A whole list without servers may be a fault of the service, so the whole list is polled again: first after
 # MIN_POLL_INTERVAL, then after this delay, which doubles up to the maximum. A random fraction of
@@ -63,8 +67,12 @@
 class DiscoverySchedule:
     """Timing of one router's polls. The jitter is derived from the seed, so that it is reproducible."""
 
-    def __init__(self, seed: int, local_agent: bool) -> None:
-        """`local_agent`: discovery is an agent on this machine, which is never slow."""
+    def __init__(self, seed: int, local_agent: bool, router_count: int = 1) -> None:
+        """`local_agent`: discovery is an agent on this machine, which is never slow.
+
+        `router_count`: number of routers that poll the same discovery.
+        """
+        self._router_count = router_count
         self.initial_grace = RESPONSE_GRACE if local_agent else INITIAL_GRACE
         self.full_poll_at = inf  # clock time at which the whole list is polled as a check
         self._seed = seed
@@ -97,8 +105,16 @@
 
     def postpone_full_poll(self, now: float) -> None:
         """Schedule a poll of the whole list after FULL_POLL_DELAY and this router's part of the jitter."""
-        fraction = zlib.crc32(b"%d whole" % self._seed) / CRC32_RANGE
-        self.full_poll_at = now + FULL_POLL_DELAY + FULL_POLL_JITTER * fraction
+        self.full_poll_at = now + FULL_POLL_DELAY + FULL_POLL_JITTER * self._part()
+
+    def schedule_restart_check(self, now: float) -> None:
+        """Schedule a poll of the whole list, since discovery may have been restarted."""
+        delay = RESTART_CHECK_DELAY + RESTART_CHECK_SPACING * self._router_count * self._part()
+        self.full_poll_at = min(self.full_poll_at, now + delay)
+
+    def _part(self) -> float:
+        """Return this router's place among all that poll the whole list, at least 0 and below 1."""
+        return zlib.crc32(b"%d whole" % self._seed) / CRC32_RANGE
 
     def empty_list_recheck_delay(self) -> float:
         """Return the delay in seconds between a whole list without servers and the next poll of it."""
--- a/gaugehinge/net/discovery_watch.py
+++ b/gaugehinge/net/discovery_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Callable
 from http import HTTPStatus
 
 import h11
@@ -38,6 +39,8 @@
         self._sock: socket.socket | None = None
         self._exchange = HttpExchange(MAX_LIST_BYTES)
         self._newest_version = NO_VERSION  # of the lists received on this connection
+        # Called when a connection breaks or cannot be made.
+        self.on_connection_lost: Callable[[], None] = lambda: None
         self.drops_late_copies = False  # set if one process answers, not any replica of a service
 
     async def poll(self, target: str, time_limit: float) -> EndpointListUpdate:
@@ -85,6 +88,7 @@
             try:
                 return await self._get(target)
             except (OSError, ConnectionLost, h11.LocalProtocolError) as error:
+                self.on_connection_lost()
                 self.close()
                 if new_connection:
                     raise PollError(str(error)) from error
--- a/gaugehinge/net/service.py
+++ b/gaugehinge/net/service.py
@@ -164,6 +164,7 @@
             settings.deployment.seed,
             settings.endpoints_pushed,
             settings.drain_grace,
+            settings.deployment.router_count,
         )
 
     def _build_clients(self, nursery: trio.Nursery) -> ClientServer:
