Log why connections are closed, requests rejected and attempts fail; answer who waited behind stalled clients

Cause: an eviction's grace counted from the accept instead of from the last byte, so that each turn of the places took 0.3 s; a request whose time was over behind stalled clients was closed, though only idle ones excuse that; unparsed values did not count in the look at the memory.

Change: the grace counts from the last byte; who has waited behind stalled clients gets -BUSY up to 0.4 s behind its time; net/reason_log.py counts closes, rejections and attempts without a value by reason, with the last id, and logs each doubling.

--- a/gaugehinge/net/client_connection.py
+++ b/gaugehinge/net/client_connection.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from .reason_log import RejectReason
 from .resp import Parser
 from .timer_queue import Timer
 
@@ -51,7 +52,7 @@
     paused: bool = False
     paused_at: float = 0.0
     waits_for_turn: bool = False
-    rejects_requests: bool = False  # memory has no room for the requests that wait
+    rejects_requests: RejectReason | None = None  # why the requests that wait are rejected
     authenticating: bool = False  # its credentials are being checked
     recheck_timer: Timer | None = None  # next idle check while the connection is over the connection limit
     draining: bool = False  # no further request is handled; it is closed when all replies are written
--- a/gaugehinge/net/client_server.py
+++ b/gaugehinge/net/client_server.py
@@ -18,6 +18,7 @@
 from .dispatcher import BUSY_REPLY, Dispatcher
 from .idle_reaper import IdleReaper
 from .lifecycle import Lifecycle, Phase
+from .reason_log import CloseReason, RejectReason
 from .recent_request_ids import RecentRequestIds
 from .reply_writer import ReplyWriter
 from .request_errors import MalformedCommandError, RequestError
@@ -26,6 +27,7 @@
 from .resp import ARRAY, BULK, Message
 from .sockets import hung_up
 
+MAX_REPLY_LATENESS = 0.4  # seconds after its client's wait for which a reply may still count as given
 MAX_LOOP_DELAY = 0.15  # seconds; with a larger event loop lag, all operations are rejected
 
 GET, SET = b"KV.GET", b"KV.SET"
@@ -186,13 +188,14 @@
             self.reply(client, b"-ERR %b\r\n" % str(error).encode())
             return
         if client.is_held_back and request.client_waits_until <= self.clock():
-            self._close_unanswered(client)
+            self._end_held_back(client, request)
             return
         operation, payload = request.operation, request.payload
         client.tenant = operation.tenant
         # A write is there a second time while it is written to a server.
         size = payload.held_bytes * (2 if is_write else 1) + OPERATION_BYTES
-        if self._must_reject(client, size):
+        if (reason := self._reject_reason(client, size)) is not None:
+            self.registry.rejections.record(reason, payload.ident)
             # Not executed, so it is answered as rejected and a retry is harmless.
             admission_control = self.admission_control
             self.reply(
@@ -209,26 +212,41 @@
         is_waiting = partial(self.is_client_present, client)
         return self.request_parser.parse(message, is_write, arrived_at, is_waiting)
 
+    def _end_held_back(self, client: ClientConnection, request: ParsedRequest) -> None:
+        """Reject a request whose client has waited in vain for a place, or close its connection.
+
+        While idle clients take all places, such a connection may be closed; not while stalled ones do.
+        """
+        late = self.clock() - request.client_waits_until
+        if late < MAX_REPLY_LATENESS and self.registry.stalled_evicted_at >= client.data_arrived_at:
+            self.registry.rejections.record(RejectReason.HELD_BACK, request.payload.ident)
+            self.reply(client, BUSY_REPLY)
+        else:
+            self._close_unanswered(client)
+
     def _close_unanswered(self, client: ClientConnection) -> None:
         """Close a connection after its pending replies; the request being handled gets no reply."""
         client.draining = True
+        self.registry.closes.record(CloseReason.HELD_BACK)
         if not client.pending_replies:
             self.registry.close_soon(client)
 
-    def _must_reject(self, client: ClientConnection, size: int) -> bool:
-        """Whether an operation of `size` bytes has to be rejected for lack of capacity."""
+    def _reject_reason(self, client: ClientConnection, size: int) -> RejectReason | None:
+        """Return why an operation of `size` bytes has to be rejected for lack of capacity, or None."""
         limits = self.limits
         if self.registry.is_over_limit(client) and self.admission_control is not None:
             client.over_limit = self.admission_control.exceeds_connection_quota(
                 client.tenant, self.connections, limits.max_connections
             )
-        return (
-            client.over_limit
-            or not limits.has_room_for_request(size)
-            or self.request_ids.is_full()
-            or len(self.dispatcher.pending_operations) >= limits.max_in_flight
-            or self.is_overloaded()
-        )
+        if client.over_limit:
+            return RejectReason.CONNECTIONS
+        if not limits.has_room_for_request(size):
+            return RejectReason.MEMORY
+        if self.request_ids.is_full():
+            return RejectReason.REQUEST_IDS
+        if len(self.dispatcher.pending_operations) >= limits.max_in_flight:
+            return RejectReason.IN_FLIGHT
+        return RejectReason.OVERLOAD if self.is_overloaded() else None
 
     def is_overloaded(self) -> bool:
         """Whether the event loop lags for lack of CPU and no admission control sheds load.
@@ -288,6 +306,7 @@
         """
         if not hung_up(client.sock):
             return True
+        self.registry.closes.record(CloseReason.CLIENT_LEFT)
         self.registry.close_soon(client)
         return False
 
--- a/gaugehinge/net/connection_registry.py
+++ b/gaugehinge/net/connection_registry.py
@@ -10,6 +10,7 @@
 from .client_limits import ClientLimits
 from .dispatcher import BUSY_REPLY
 from .handle_table import HandleTable
+from .reason_log import CloseReason, ReasonLog
 from .sockets import send_some, shut, silent, unsent
 from .timer_queue import TimerQueue
 
@@ -35,6 +36,9 @@
         self.on_reply_written: Callable[[ClientConnection], None] = lambda client: None  # if it is paused
         self.idle_grace = IDLE_GRACE
         self._abandon_reply = abandon_reply
+        self.stalled_evicted_at = 0.0  # when a stalled connection was last closed for another one
+        self.closes = ReasonLog("client connections closed")
+        self.rejections = ReasonLog("requests rejected")
 
     def is_open(self, client: ClientConnection) -> bool:
         """Whether a connection is still open."""
@@ -86,6 +90,7 @@
             # With unsent bytes, the client's next request would reset the closed connection, and the rest of
             # a long reply would be lost with it.
             return False
+        self.closes.record(CloseReason.IDLE)
         self.shut_down(client)
         return True
 
@@ -97,11 +102,12 @@
         is_within_request = len(client.parser) and not (client.paused or client.pending_replies)
         if client.draining or not is_within_request:
             return False
-        stalled_since = max(client.received_at, client.accepted_at)
-        if self.clock() - stalled_since < STALL_GRACE or not silent(client.sock):
+        if self.clock() - client.received_at < STALL_GRACE or not silent(client.sock):
             return False
         with suppress(OSError):  # the client has disconnected
             send_some(client.sock, BUSY_REPLY)
+        self.closes.record(CloseReason.STALLED)
+        self.stalled_evicted_at = self.clock()
         self.shut_down(client)
         return True
 
--- a/gaugehinge/net/dispatcher.py
+++ b/gaugehinge/net/dispatcher.py
@@ -23,6 +23,7 @@
 from .extensions import EndpointListTransformer, Extensions, ReplyCallback
 from .handle_table import HandleTable
 from .origin_codec import OriginCodec
+from .reason_log import ReasonLog, RejectReason
 from .resp_codec import RespCodec
 from .timer_queue import Timer, TimerQueue
 
@@ -68,6 +69,8 @@
         self.server_codec: Codec = RespCodec()
         self.origin_codec = OriginCodec()
         self.address_owners = AddressOwners()
+        self.failed_attempts = ReasonLog("attempts without a value")
+        self.rejections = ReasonLog("operations rejected")
         self.pool: ConnectionPool
         self.watch_endpoints: Callable[[], None]
         self.send_gossip: Callable[[tuple[int, ...], bytes], None]
@@ -166,6 +169,8 @@
                 observer.on_redirect(attempt, outcome, value)
         over = attempt.operation.finished or outcome is Outcome.SUCCEEDED
         succeeded = outcome is Outcome.SUCCEEDED and not attempt.operation.finished
+        if not succeeded and outcome is not Outcome.CACHE_MISS:
+            self.failed_attempts.record(outcome.label, b"" if pending is None else pending.payload.ident)
         if pending is not None and value is not None and succeeded:
             self._reply(pending, value)
         try:
@@ -242,6 +247,7 @@
         elif action is Action.WAIT:
             self._schedule_recheck(pending)
         elif action is Action.REJECT:
+            self.rejections.record(RejectReason.DECISION, pending.payload.ident)
             self._reply(pending, busy_reply(decision.retry_after))
         elif action is Action.FAIL:
             self._reply(pending, FAILED_REPLY)
--- a/gaugehinge/net/idle_reaper.py
+++ b/gaugehinge/net/idle_reaper.py
@@ -9,6 +9,7 @@
 from .client_limits import ClientLimits
 from .connection_registry import ConnectionRegistry
 from .lifecycle import Lifecycle, Phase
+from .reason_log import CloseReason
 from .reply_writer import ReplyWriter
 from .sockets import hung_up
 
@@ -77,6 +78,7 @@
     def _check(self, client: ClientConnection, now: float, leaving: bool) -> None:
         """Close a connection if its client disconnected, if it is idle, or if its request timed out."""
         if client.paused and hung_up(client.sock):
+            self.registry.closes.record(CloseReason.CLIENT_LEFT)
             self.registry.close_soon(client)
         if client.pending_replies or client.draining or client.paused:
             return
@@ -84,6 +86,7 @@
             started_at = client.message_started_at if client.has_sent_request else client.accepted_at
             if max(started_at, self.responsive_since) < now - REQUEST_READ_TIMEOUT:
                 client.draining = True
+                self.registry.closes.record(CloseReason.REQUEST_TIMEOUT)
                 self.reply_writer.reply(client, REQUEST_TIMEOUT_REPLY)
         elif leaving and client.has_sent_request:
             return
@@ -112,7 +115,7 @@
         if now >= self._next_stalled_order:
             within_request = [client for client in self.registry.connections if len(client.parser)]
             self._stalled_order = iter(sorted(within_request, key=lambda client: client.received_at))
-            self._next_stalled_order = now + EVICTION_ORDER_LIFETIME
+            self._next_stalled_order = now + MIN_SEARCH_INTERVAL
         return self._stalled_order
 
     def _candidates(self, now: float) -> Iterator[ClientConnection]:
--- a/gaugehinge/net/reply_writer.py
+++ b/gaugehinge/net/reply_writer.py
@@ -12,6 +12,7 @@
 from .client_limits import ClientLimits
 from .connection_registry import ConnectionRegistry
 from .lifecycle import Lifecycle, Phase
+from .reason_log import CloseReason
 from .sockets import enlarge_send_buffer, send_some, silent, unsent, wait_writable
 
 WRITE_TIMEOUT = 10.0  # seconds; a client that has not read a reply by then is disconnected
@@ -182,6 +183,7 @@
             self.registry.close_soon(client)
             return
         if scope.cancelled_caught:
+            self.registry.closes.record(CloseReason.REPLY_NOT_READ)
             self.registry.close_soon(client)
             return
         if client.pending_replies:
--- a/gaugehinge/net/request_reader.py
+++ b/gaugehinge/net/request_reader.py
@@ -12,6 +12,7 @@
 from .client_connection import ClientConnection
 from .connection_registry import ConnectionRegistry
 from .dispatcher import BUSY_REPLY
+from .reason_log import CloseReason, RejectReason
 from .reply_writer import ReplyWriter
 from .request_turns import RequestTurns
 from .resp import Malformed
@@ -145,7 +146,8 @@
         """
         if not client.paused or client.authenticating or not self.registry.is_open(client):
             return
-        client.rejects_requests = client.rejects_requests or self._is_overload(delay)
+        if client.rejects_requests is None and self._is_overload(delay):
+            client.rejects_requests = RejectReason.OVERLOAD
         if not client.pending_replies:
             client.data_arrived_at = client.paused_at  # it waited for its turn, and for no earlier reply
         self.resume(client)
@@ -167,17 +169,19 @@
         a client that had disconnected, as fast as the ones before them ended.
         """
         if client.paused and hung_up(client.sock):
+            self.registry.closes.record(CloseReason.CLIENT_LEFT)
             self.registry.close_soon(client)
             return
         client.paused = False
         with self.reply_writer.joined_replies(client):
             try:
-                if client.rejects_requests:
+                if client.rejects_requests is not None:
                     self._reject_requests(client)
                 else:
                     self._handle_requests(client)
             except Malformed as error:
                 client.draining = True
+                self.registry.closes.record(CloseReason.MALFORMED)
                 self.reply_writer.reply(client, b"-ERR protocol: %b\r\n" % str(error).encode())
         if self.registry.is_open(client):
             self._count_unparsed_bytes(client)
@@ -203,16 +207,19 @@
         client.paused_at = client.message_started_at = self.clock()
 
     def _reject_requests(self, client: ClientConnection) -> None:
-        """Reject requests that memory has no room for. They have not run, so a retry is harmless."""
+        """Reject requests unread beyond their end. They have not run, so a retry is harmless."""
+        assert client.rejects_requests is not None
         for _ in range(MAX_REJECTIONS_PER_TURN):
             if client.parser.next() is None:
-                client.rejects_requests = False
+                client.rejects_requests = None
                 return
             client.has_sent_request = True
+            self.registry.rejections.record(client.rejects_requests)
             self.reply_writer.reply(client, BUSY_REPLY)
         if client.queued_reply_bytes > MAX_REJECTION_BYTES:
             client.draining = True
             client.parser.clear()
+            self.registry.closes.record(CloseReason.TOO_MANY_REQUESTS)
             self.reply_writer.reply(client, TOO_MANY_REQUESTS_REPLY)
             return
         self._pause(client)
@@ -228,11 +235,12 @@
             client.parser.clear()
         elif client.paused:
             if len(client.parser) > self._max_read_ahead(client) and not client.authenticating:
-                client.rejects_requests = True
+                client.rejects_requests = RejectReason.MEMORY
                 self.turns.add(client)
-        elif len(client.parser) > MAX_UNCOUNTED_BYTES and budget.is_nearly_exceeded:
+        elif client.parser.held_bytes > MAX_UNCOUNTED_BYTES and budget.is_nearly_exceeded:
             client.draining = True
             client.parser.clear()
+            self.registry.rejections.record(RejectReason.MEMORY)
             self.reply_writer.reply(client, BUSY_REPLY)
         size = client.parser.held_bytes
         if size != client.unparsed_bytes and self.registry.is_open(client):
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -16,6 +16,7 @@
 SWEEP = (
     0.25  # seconds between two looks of a router at its connections; a look may fall just short of a bound
 )
+MANY_LABELS = b"".join(b",%x=" % each for each in range(10_000))
 HALF_WRITE = write(b"k", 4.0, b"v" * VALUE_BYTES)[:60_000]
 
 
@@ -39,8 +40,7 @@
 
 
 async def very_many_labels(stream, number) -> None:
-    labels = b",".join(b"%x=" % each for each in range(10_000))
-    await stream.send_all(read(b"k%d" % number, 4.0, labels=b"," + labels))
+    await stream.send_all(read(b"k%d" % number, 4.0, labels=MANY_LABELS))
     await trio.sleep_forever()
 
 
