Count the time of a first request from when it came, also in the backlog

Callers saw: at 64 descriptors behind 600 stalled clients some were told after 3.26 s, where 3 s are owed. Cause: the 2 s for a whole request began at the accept, up to a second behind its bytes. Change: they begin with its first bytes, at the accept at the latest. HTTP heads of servers may have 256 lines, RESP messages 64 values: parsed ones take many times their bytes.

--- a/gaugehinge/net/http_exchange.py
+++ b/gaugehinge/net/http_exchange.py
@@ -10,6 +10,7 @@
 from .codec import ConnectionLost, MalformedReply
 
 MAX_HEAD_BYTES = 32 * 1024
+MAX_HEAD_LINES = 256  # a parsed header takes many times the memory of a short line
 USUAL_BODY_BYTES = 16 * 1024  # of a response
 END_OF_HEAD = re.compile(rb"\n\r?\n")
 MAX_END_OF_HEAD_BYTES = 3
@@ -112,6 +113,8 @@
                 break
             end = end_of_head.end() if end_of_head else len(self._incomplete_head)
             head = bytes(self._incomplete_head[start:end])
+            if head.count(b"\n") > MAX_HEAD_LINES:
+                raise MalformedReply("too many header lines")
             self._is_head_mixed = head.find(RESPONSE_START, 1) >= 0
             response = self._parse(LOAD_REPORT_HEADER.sub(b"", head))
             start = end
--- a/gaugehinge/net/idle_reaper.py
+++ b/gaugehinge/net/idle_reaper.py
@@ -14,7 +14,8 @@
 from .sockets import hung_up
 
 SWEEP_INTERVAL = 0.25  # seconds between two checks of all connections
-# Seconds for a request to arrive completely; for a connection's first request they start at the accept.
+# Seconds for a request to arrive completely; for a connection's first request they start at the accept at the
+# latest.
 REQUEST_READ_TIMEOUT = 2.0
 IDLE_TIMEOUT = 2.0  # seconds with nothing in flight: some clients send one request and never disconnect
 MIN_SEARCH_INTERVAL = 0.01  # seconds between two searches for an idle connection that found none
@@ -83,7 +84,9 @@
         if client.pending_replies or client.draining or client.paused:
             return
         if len(client.parser):
-            started_at = client.message_started_at if client.has_sent_request else client.accepted_at
+            started_at = client.message_started_at
+            if not client.has_sent_request:  # it may have come while the connection waited to be accepted
+                started_at = min(started_at, client.accepted_at)
             if max(started_at, self.responsive_since) < now - REQUEST_READ_TIMEOUT:
                 client.draining = True
                 self.registry.closes.record(CloseReason.REQUEST_TIMEOUT)
--- a/gaugehinge/net/resp.py
+++ b/gaugehinge/net/resp.py
@@ -11,6 +11,7 @@
 MAX_ARRAY_ITEMS = 16  # no command or reply has as many
 MAX_DEPTH = 3
 MAX_OVERHEAD_BYTES = 16 * 1024  # in a message, besides one value
+MAX_FRAMES = 64  # values in a message, the arrays included
 MAX_LENGTH_DIGITS = 7
 FRAME_BYTES = 200  # memory of a parsed value, besides the bytes of its message
 
@@ -200,6 +201,8 @@
         """Create the frame of a complete value; parsing goes on behind it."""
         self._position = end
         self._frame_count += 1
+        if self._frame_count > MAX_FRAMES:
+            raise Malformed("too many values")
         return Frame(kind, start, end, body_start, body_end, self._message)
 
     def _parse_bulk(self, start: int, body_start: int, line: bytes) -> Frame | None:
