Count requests of departed clients until their attempts end; leave the replies room in the budget

Cause: a request's bytes were released with its client's connection; requests and replies share a budget since, with no share kept for replies.

Change: released once no attempt is in flight; requests take half of the budget at most. The time since when a connection has unread bytes is forgotten with its first read, also where requests wait.

Measured: tests/test_departed_clients.py, new case (0 bytes counted before, 65,000 now).

--- a/gaugehinge/cluster/front.py
+++ b/gaugehinge/cluster/front.py
@@ -340,8 +340,17 @@
         return send_reply
 
     def abandon_reply(self, pending_reply: PendingReply) -> None:
-        for handle in list(pending_reply.operation_handle):
-            (self.admission_control or self.dispatcher).client_gone(handle, lambda: None)
+        handles = list(pending_reply.operation_handle)
+        remaining = len(handles)
+
+        def released() -> None:
+            nonlocal remaining
+            remaining -= 1
+            if not remaining:
+                self.limits.release(pending_reply)
+
+        for handle in handles:
+            (self.admission_control or self.dispatcher).client_gone(handle, released)
 
     # -- authentication
 
--- a/gaugehinge/net/client_limits.py
+++ b/gaugehinge/net/client_limits.py
@@ -7,8 +7,9 @@
 
 # Share of the memory for the requests of operations in flight.
 RESERVED_MEMORY_FRACTION = 0.1
+RESERVED_BUDGET_FRACTION = 0.5  # of the budget for buffers at most: the replies to them need the rest
 MEMORY_PER_OPERATION = 64 * 1024  # bytes of an operation in flight, with its tasks and share of the buffers
-OPERATION_BYTES = 4 * 1024  # of an operation in flight, besides its request and the connection to its server
+OPERATION_BYTES = 3 * 1024  # of an operation in flight, besides its request and the connection to its server
 # The connection limit divided by this is accepted beyond the limit, so that requests there can be rejected.
 SPARE_CONNECTIONS_DIVISOR = 4
 MIN_SPARE_CONNECTIONS = 8
@@ -48,7 +49,8 @@
         """Set the limits from the connections and the memory (bytes) available to this front."""
         self.max_connections = max_connections
         self.spare_connections = max(max_connections // SPARE_CONNECTIONS_DIVISOR, MIN_SPARE_CONNECTIONS)
-        self.max_reserved_bytes = int(memory * RESERVED_MEMORY_FRACTION)
+        max_in_budget = self.buffer_budget.capacity * RESERVED_BUDGET_FRACTION
+        self.max_reserved_bytes = int(min(memory * RESERVED_MEMORY_FRACTION, max_in_budget))
         self.max_in_flight = min(self._configured_in_flight, memory // MEMORY_PER_OPERATION)
 
     @property
--- a/gaugehinge/net/client_server.py
+++ b/gaugehinge/net/client_server.py
@@ -283,10 +283,15 @@
         """Abandon an operation whose client disconnected before the reply.
 
         Its ID stays in use while an attempt is in flight: when a client resent a non-repeatable operation in
-        that time, it was executed a second time alongside the attempt.
+        that time, it was executed a second time alongside the attempt. Its memory is counted as long.
         """
-        close_id = partial(self._close_request_id, pending_reply, _may_have_been_sent(pending_reply))
-        (self.admission_control or self.dispatcher).client_gone(pending_reply.operation_handle, close_id)
+        was_sent = _may_have_been_sent(pending_reply)
+
+        def release() -> None:
+            self._close_request_id(pending_reply, was_sent)
+            self.limits.release(pending_reply)
+
+        (self.admission_control or self.dispatcher).client_gone(pending_reply.operation_handle, release)
 
     def _close_request_id(self, pending_reply: PendingReply, was_sent: bool) -> None:
         request, request_id = pending_reply.request, pending_reply.request_id
--- a/gaugehinge/net/connection_registry.py
+++ b/gaugehinge/net/connection_registry.py
@@ -27,7 +27,10 @@
     def __init__(
         self, timers: TimerQueue, limits: ClientLimits, abandon_reply: Callable[[PendingReply], None]
     ) -> None:
-        """Create an empty registry. `abandon_reply` abandons the operation of a disconnected client."""
+        """Create an empty registry.
+
+        `abandon_reply` abandons the operation of a disconnected client, and releases the reply in the end.
+        """
         self.timers = timers
         self.clock = timers.clock
         self.limits = limits
@@ -51,9 +54,10 @@
         if self.reader is not None:
             self.reader.unwatch(client)
         for pending_reply in client.pending_replies:
-            self.limits.release(pending_reply)
             if pending_reply.operation_handle is not None:
                 self._abandon_reply(pending_reply)
+            else:
+                self.limits.release(pending_reply)
         client.pending_replies.clear()
         client.unwritten = b""
         client.parser.clear()
--- a/gaugehinge/net/request_reader.py
+++ b/gaugehinge/net/request_reader.py
@@ -125,6 +125,7 @@
             client.message_started_at = client.received_at
         client.parser.feed(data)
         if client.paused:
+            client.unread_since = 0.0
             self._count_unparsed_bytes(client)
             return
         client.data_arrived_at = arrived_at
@@ -207,7 +208,7 @@
         client.paused_at = client.message_started_at = self.clock()
 
     def _reject_requests(self, client: ClientConnection) -> None:
-        """Reject requests unread beyond their end. They have not run, so a retry is harmless."""
+        """Reject requests without a look at what they hold. They have not run, so a retry is harmless."""
         assert client.rejects_requests is not None
         for _ in range(MAX_REJECTIONS_PER_TURN):
             if client.parser.next() is None:
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -102,3 +102,26 @@
                 nursery.cancel_scope.cancel()
 
     run(scenario)
+
+
+@both
+def test_requests_of_departed_clients_count_for_as_long_as_they_are_held(tmp_path):
+    """Guards against memory beyond the bound: attempts that are not called off outlive their clients."""
+    settings = {**SETTINGS, "allowed": {**SETTINGS["allowed"], "mayCancel": False}}
+
+    async def scenario():
+        async with fleet(tmp_path, origin=lambda *call: "stall", settings=settings) as made:
+            allow_many(made)
+            client, budget = await made.client(), made.service.pool.buffer_budget
+            await client.send("KV.SET", "k1", "the-id", "c=once,t=acme,d=1500", b"v" * 65_000)
+            while not made.origin.seen:
+                await trio.sleep(0.01)
+            await client.stream.aclose()
+            while made.service.clients.connections:
+                await trio.sleep(0.01)
+            assert budget.held_bytes >= 65_000
+            while made.service.pool.pending:
+                await trio.sleep(0.01)
+            assert budget.held_bytes == made.service.clients.limits.reserved_bytes == 0
+
+    run(scenario)
