Close a connection whose turn has failed, also where a shared reader reads it

Found by reading: a defect in a turn cancelled the task of its connection, which a shared reader does not have; the connection stayed. Now it is closed.

--- a/gaugehinge/net/request_reader.py
+++ b/gaugehinge/net/request_reader.py
@@ -51,7 +51,7 @@
         self.registry = registry
         self.reply_writer = reply_writer
         self.clock = registry.clock
-        self.turns = RequestTurns(self.clock, self._take_turn)
+        self.turns = RequestTurns(self.clock, self._take_turn, registry.close)
         self._nursery = nursery
         self._handle_command = handle_command
         self._is_overload = is_overload
--- a/gaugehinge/net/request_turns.py
+++ b/gaugehinge/net/request_turns.py
@@ -18,13 +18,17 @@
     """
 
     def __init__(
-        self, clock: Callable[[], float], take_turn: Callable[[ClientConnection, float], None]
+        self,
+        clock: Callable[[], float],
+        take_turn: Callable[[ClientConnection, float], None],
+        close: Callable[[ClientConnection], None],
     ) -> None:
         """`clock` returns the time in seconds.
 
         `take_turn` gets a connection and for how long it has waited. It handles some of its requests, and may
-        add it again.
+        add it again. `close` closes a connection whose turn has failed.
         """
+        self._close = close
         self._clock = clock
         self._take_turn = take_turn
         self._waiting: deque[tuple[ClientConnection, float]] = deque()  # with the time since when
@@ -52,4 +56,4 @@
             self._take_turn(client, self._clock() - since)
         except Exception:  # a defect ends only this connection
             logger.exception("client connection failed")
-            client.cancel_scope.cancel()
+            self._close(client)
