--- a/gaugehinge/net/connection_acceptor.py
+++ b/gaugehinge/net/connection_acceptor.py
@@ -19,7 +19,9 @@
 from .sockets import backlog_length, unread_input
 
 MIN_BACKLOG_WAIT = 0.05  # seconds; a shorter wait is ignored, as the reply's margin covers it
-FULL_RETRY_INTERVAL = 0.03  # seconds between two attempts to accept while a limit is reached
+FULL_RETRY_INTERVAL = 0.1  # seconds between two attempts to accept while a limit is reached
+STALLED_RETRY_INTERVAL = 0.03  # the same while stalled clients give up their places
+STALLED_TIME = 1.0  # seconds after the last of them
 
 
 class ConnectionAcceptor:
@@ -51,9 +53,13 @@
         while True:
             await trio.lowlevel.wait_readable(listening)
             if not self.accept_pending(listening):
-                await trio.sleep(FULL_RETRY_INTERVAL)
+                await trio.sleep(self._retry_interval())
                 self._observe_backlog(listening)
 
+    def _retry_interval(self) -> float:
+        has_stalled = self.registry.clock() - self.registry.stalled_evicted_at < STALLED_TIME
+        return STALLED_RETRY_INTERVAL if has_stalled else FULL_RETRY_INTERVAL
+
     def accept_pending(self, listening: socket.socket) -> bool:
         """Accept the connections in the backlog; returns False if a limit left some of them there."""
         if self.admission_control is None:
--- a/gaugehinge/net/request_reader.py
+++ b/gaugehinge/net/request_reader.py
@@ -21,6 +21,7 @@
 MAX_PIPELINED_REQUESTS = 32  # in flight on one connection; with this many, further ones wait
 MAX_REQUESTS_PER_TURN = 16  # of one connection, handled in one step of the event loop
 MAX_REJECTIONS_PER_TURN = 256  # requests that are only parsed and rejected take far less time
+MIN_JOINED_BYTES = 512  # of requests, from which their immediate replies are written together
 MAX_READ_BYTES = 64 * 1024  # in one step of the event loop
 MAX_UNCOUNTED_BYTES = 2 * 1024  # of a request; an incomplete one up to this size is never rejected
 MAX_DISCARDED_BYTES = 256 * 1024  # discarded after an error or the last request; with more, reading stops
@@ -174,19 +175,25 @@
             self.registry.close_soon(client)
             return
         client.paused = False
-        with self.reply_writer.joined_replies(client):
-            try:
-                if client.rejects_requests is not None:
-                    self._reject_requests(client)
-                else:
-                    self._handle_requests(client)
-            except Malformed as error:
-                client.draining = True
-                self.registry.closes.record(CloseReason.MALFORMED)
-                self.reply_writer.reply(client, b"-ERR protocol: %b\r\n" % str(error).encode())
-        if self.registry.is_open(client):
+        if len(client.parser) > MIN_JOINED_BYTES:
+            with self.reply_writer.joined_replies(client):
+                self._handle_or_reject(client)
+        else:
+            self._handle_or_reject(client)
+        if (client.unparsed_bytes or client.parser.held_bytes) and self.registry.is_open(client):
             self._count_unparsed_bytes(client)
 
+    def _handle_or_reject(self, client: ClientConnection) -> None:
+        try:
+            if client.rejects_requests is not None:
+                self._reject_requests(client)
+            else:
+                self._handle_requests(client)
+        except Malformed as error:
+            client.draining = True
+            self.registry.closes.record(CloseReason.MALFORMED)
+            self.reply_writer.reply(client, b"-ERR protocol: %b\r\n" % str(error).encode())
+
     def _handle_requests(self, client: ClientConnection) -> None:
         for _ in range(MAX_REQUESTS_PER_TURN):
             if client.draining:
--- a/gaugehinge/net/request_turns.py
+++ b/gaugehinge/net/request_turns.py
@@ -1,4 +1,4 @@
-"""Lets connections with many requests take turns, one connection in each step of the event loop."""
+"""Lets connections with many requests take turns, a few in each step of the event loop."""
 
 from __future__ import annotations
 
@@ -10,6 +10,8 @@
 
 from .client_connection import ClientConnection
 
+MAX_STEP_TIME = 0.002  # seconds of turns in one step of the event loop
+
 
 class RequestTurns:
     """Connections with requests that were read and wait to be handled, in the order of their turns.
@@ -46,10 +48,17 @@
         while True:
             await self._added.wait()
             while self._waiting:
-                self._give_turn(*self._waiting.popleft())
+                self._give_turns()
                 await trio.lowlevel.checkpoint()
             self._added = trio.Event()
 
+    def _give_turns(self) -> None:
+        end = self._clock() + MAX_STEP_TIME
+        while self._waiting:
+            self._give_turn(*self._waiting.popleft())
+            if self._clock() >= end:
+                return
+
     def _give_turn(self, client: ClientConnection, since: float) -> None:
         client.waits_for_turn = False
         try:
