Do not time a request out for what the router left unread while its connection waited

Callers saw: "-ERR protocol: command not whole in time" for requests they had sent whole, where their connection waited longer than 2 s for its turn with more unread than may be read ahead: the time of the incomplete request began with the wait. Change: the time begins once the turn is taken and reading goes on.

--- a/gaugehinge/net/request_reader.py
+++ b/gaugehinge/net/request_reader.py
@@ -154,6 +154,8 @@
             client.data_arrived_at = client.paused_at  # it waited for its turn, and for no earlier reply
         self.resume(client)
         client.data_arrived_at = 0.0
+        # While it waited, the rest of an incomplete request may have been left unread.
+        client.message_started_at = self.clock()
         self._read_again(client)
 
     def _read_again(self, client: ClientConnection) -> None:
