Give the places of clients with a queue of requests to clients that wait; reject queues in bulk

Cause: only idle and stalled clients gave up their places; those with a queue kept them until their turns, some ms each, had come round 19 times; the spare connections, which exist to be answered -BUSY soon, took as many turns as the others. Change: while clients wait for places, as many connections with the longest queues have what waits there rejected, before all other turns, and are closed once idle (not with admission control, which bounds tenants' queues itself). Requests over the limit are rejected in bulk. New reason in the log: "another client waited for the place".

--- a/gaugehinge/net/client_connection.py
+++ b/gaugehinge/net/client_connection.py
@@ -77,6 +77,11 @@
         """Whether the rest of a reply waits until the client has read earlier bytes."""
         return len(self.unwritten) > 0
 
+    @property
+    def is_quiet(self) -> bool:
+        """Whether nothing was read from it that is not answered yet."""
+        return not (self.pending_replies or self.draining or self.ready_since or len(self.parser))
+
     def half_close(self) -> None:
         """Shut down the sending side: no reply follows. Does nothing if the client has disconnected."""
         with suppress(OSError):
--- a/gaugehinge/net/client_server.py
+++ b/gaugehinge/net/client_server.py
@@ -74,10 +74,15 @@
         self.connections = self.registry.connections
         self.reply_writer = ReplyWriter(self.registry, self.limits, lifecycle, nursery)
         self.request_reader = RequestReader(
-            self.registry, self.reply_writer, nursery, self._handle_command, self.is_overload
+            self.registry, self.reply_writer, nursery, self._handle_command, self.reason_to_reject_waiting
         )
         self.idle_reaper = IdleReaper(
-            self.registry, self.limits, lifecycle, self.reply_writer, admission_control
+            self.registry,
+            self.limits,
+            lifecycle,
+            self.reply_writer,
+            self.request_reader.reject_waiting,
+            admission_control,
         )
         self.acceptor = ConnectionAcceptor(
             self.registry,
@@ -215,10 +220,10 @@
     def _end_held_back(self, client: ClientConnection, request: ParsedRequest) -> None:
         """Reject a request whose client has waited in vain for a place, or close its connection.
 
-        While idle clients take all places, such a connection may be closed; not while stalled ones do.
+        While idle clients take all places, such a connection may be closed; not while others do.
         """
         late = self.clock() - request.client_waits_until
-        if late < MAX_REPLY_LATENESS and self.registry.stalled_evicted_at >= client.data_arrived_at:
+        if late < MAX_REPLY_LATENESS and self.registry.made_room_at >= client.data_arrived_at:
             self.registry.rejections.record(RejectReason.HELD_BACK, request.payload.ident)
             self.reply(client, BUSY_REPLY)
         else:
@@ -253,11 +258,18 @@
 
         More operations in flight would then delay all of them, so new ones are rejected while that is cheap.
         """
-        return self.is_overload(self.timers.current_lag)
+        return self.admission_control is None and self.timers.current_lag > MAX_LOOP_DELAY
 
-    def is_overload(self, delay: float) -> bool:
-        """Whether a delay of requests, in seconds, means that new ones are rejected."""
-        return self.admission_control is None and delay > MAX_LOOP_DELAY
+    def reason_to_reject_waiting(self, client: ClientConnection, delay: float) -> RejectReason | None:
+        """Return why all requests of a connection that waited `delay` seconds are rejected, or None.
+
+        Admission control, where there is one, decides on each request instead.
+        """
+        if self.admission_control is not None:
+            return None
+        if self.registry.is_over_limit(client):
+            return RejectReason.CONNECTIONS
+        return RejectReason.OVERLOAD if delay > MAX_LOOP_DELAY else None
 
     def _submit(self, client: ClientConnection, request: ParsedRequest, size: int) -> None:
         operation, payload, limits = request.operation, request.payload, self.limits
--- a/gaugehinge/net/connection_acceptor.py
+++ b/gaugehinge/net/connection_acceptor.py
@@ -20,8 +20,8 @@
 
 MIN_BACKLOG_WAIT = 0.05  # seconds; a shorter wait is ignored, as the reply's margin covers it
 FULL_RETRY_INTERVAL = 0.1  # seconds between two attempts to accept while a limit is reached
-STALLED_RETRY_INTERVAL = 0.03  # the same while stalled clients give up their places
-STALLED_TIME = 1.0  # seconds after the last of them
+MAKING_ROOM_INTERVAL = 0.03  # the same while clients give up their places
+MAKING_ROOM_TIME = 1.0  # seconds after the last of them
 
 
 class ConnectionAcceptor:
@@ -53,12 +53,14 @@
         while True:
             await trio.lowlevel.wait_readable(listening)
             if not self.accept_pending(listening):
+                if self._is_full:
+                    self.idle_reaper.reject_longest_queues(self._waiting)
                 await trio.sleep(self._retry_interval())
                 self._observe_backlog(listening)
 
     def _retry_interval(self) -> float:
-        has_stalled = self.registry.clock() - self.registry.stalled_evicted_at < STALLED_TIME
-        return STALLED_RETRY_INTERVAL if has_stalled else FULL_RETRY_INTERVAL
+        is_making_room = self.registry.clock() - self.registry.made_room_at < MAKING_ROOM_TIME
+        return MAKING_ROOM_INTERVAL if is_making_room else FULL_RETRY_INTERVAL
 
     def accept_pending(self, listening: socket.socket) -> bool:
         """Accept the connections in the backlog; returns False if a limit left some of them there."""
--- a/gaugehinge/net/connection_registry.py
+++ b/gaugehinge/net/connection_registry.py
@@ -39,7 +39,7 @@
         self.on_reply_written: Callable[[ClientConnection], None] = lambda client: None  # if it is paused
         self.idle_grace = IDLE_GRACE
         self._abandon_reply = abandon_reply
-        self.stalled_evicted_at = 0.0  # when a stalled connection was last closed for another one
+        self.made_room_at = 0.0  # when a busy or stalled connection last had to give way to another one
         self.closes = ReasonLog("client connections closed")
         self.rejections = ReasonLog("requests rejected")
 
@@ -85,7 +85,7 @@
         A grace period applies, since a client that has just been answered may be writing its next request.
         Nothing may run between the check and the close: a request that arrived there would be lost.
         """
-        if client.pending_replies or client.draining or client.ready_since or len(client.parser):
+        if not client.is_quiet:
             return False
         grace = self.idle_grace if client.has_sent_request else NEW_CONNECTION_GRACE
         if self.clock() - client.idle_since < grace:
@@ -111,7 +111,7 @@
         with suppress(OSError):  # the client has disconnected
             send_some(client.sock, BUSY_REPLY)
         self.closes.record(CloseReason.STALLED)
-        self.stalled_evicted_at = self.clock()
+        self.made_room_at = self.clock()
         self.shut_down(client)
         return True
 
--- a/gaugehinge/net/idle_reaper.py
+++ b/gaugehinge/net/idle_reaper.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from heapq import nlargest
 
 from .admission_control import AdmissionControl
 from .client_connection import ClientConnection
@@ -34,13 +35,19 @@
         limits: ClientLimits,
         lifecycle: Lifecycle,
         reply_writer: ReplyWriter,
+        reject_waiting: Callable[[ClientConnection], None],
         admission_control: AdmissionControl | None,
     ) -> None:
-        """Create the reaper. `admission_control`, if present, decides the order of eviction."""
+        """Create the reaper.
+
+        `reject_waiting` rejects the requests of a connection that were read and wait. `admission_control`, if
+        present, decides the order of eviction.
+        """
         self.registry = registry
         self.limits = limits
         self.lifecycle = lifecycle
         self.reply_writer = reply_writer
+        self._reject_waiting = reject_waiting
         self.admission_control = admission_control
         self.timers = registry.timers
         self.clock = registry.clock
@@ -113,6 +120,24 @@
         self._next_search = now + MIN_SEARCH_INTERVAL if without_order else self._next_eviction_order
         return False
 
+    def reject_longest_queues(self, count: int) -> None:
+        """Make up to `count` connections with many requests idle, for other clients that wait for a place.
+
+        The requests that wait are rejected, of those connections first that have most of them. With admission
+        control nothing is done: it bounds what each tenant may have waiting.
+        """
+        if self.admission_control is not None:
+            return
+        connections = self.registry.connections
+        count -= sum(client.has_sent_request and client.is_quiet for client in connections)
+        queues = (client for client in connections if client.paused and not client.draining)
+        longest = nlargest(
+            max(count, 0), queues, key=lambda client: (bool(client.rejects_requests), len(client.parser))
+        )
+        for client in longest:
+            self._reject_waiting(client)
+            self.registry.made_room_at = self.clock()
+
     def _longest_stalled(self, now: float) -> Iterator[ClientConnection]:
         """Connections that have sent a part of a request, the one first that has sent nothing for longest."""
         if now >= self._next_stalled_order:
--- a/gaugehinge/net/reason_log.py
+++ b/gaugehinge/net/reason_log.py
@@ -27,6 +27,7 @@
     """Why a request was rejected unforwarded."""
 
     CONNECTIONS = "connection over the limit"
+    PLACE_NEEDED = "another client waited for the place"
     MEMORY = "no room in memory"
     REQUEST_IDS = "too many recent request ids"
     IN_FLIGHT = "too many operations in flight"
@@ -58,3 +59,7 @@
         shown = request_id[:MAX_LOGGED_ID_BYTES].decode("ascii", "replace")
         last = f"; last id {shown}" if shown else ""
         logger.info("{}: {} ({}){}", self._what, total, reasons, last)
+
+    def count_of(self, reason: Enum) -> int:
+        """Return the number of events so far with a reason."""
+        return self._counts[str(reason.value)]
--- a/gaugehinge/net/request_reader.py
+++ b/gaugehinge/net/request_reader.py
@@ -20,7 +20,7 @@
 
 MAX_PIPELINED_REQUESTS = 32  # in flight on one connection; with this many, further ones wait
 MAX_REQUESTS_PER_TURN = 16  # of one connection, handled in one step of the event loop
-MAX_REJECTIONS_PER_TURN = 256  # requests that are only parsed and rejected take far less time
+MAX_REJECTIONS_PER_TURN = 512  # requests that are only measured and rejected take far less time
 MIN_JOINED_BYTES = 512  # of requests, from which their immediate replies are written together
 MAX_READ_BYTES = 64 * 1024  # in one step of the event loop
 MAX_UNCOUNTED_BYTES = 2 * 1024  # of a request; an incomplete one up to this size is never rejected
@@ -42,12 +42,13 @@
         reply_writer: ReplyWriter,
         nursery: trio.Nursery,
         handle_command: Callable[[ClientConnection, Any], None],
-        is_overload: Callable[[float], bool],
+        reason_to_reject: Callable[[ClientConnection, float], RejectReason | None],
     ) -> None:
         """Create the reader.
 
-        `handle_command` gets each complete message and may raise Malformed. `is_overload` says whether
-        requests have to be rejected after a delay in seconds. `nursery` runs the tasks.
+        `handle_command` gets each complete message and may raise Malformed. `reason_to_reject`
+        says why all requests of a connection that have waited for so many seconds have to be rejected, if
+        they have. `nursery` runs the tasks.
         """
         self.registry = registry
         self.reply_writer = reply_writer
@@ -55,7 +56,7 @@
         self.turns = RequestTurns(self.clock, self._take_turn, registry.close)
         self._nursery = nursery
         self._handle_command = handle_command
-        self._is_overload = is_overload
+        self._reason_to_reject = reason_to_reject
         registry.on_reply_written = self.turns.add
         nursery.start_soon(self.turns.run)
 
@@ -134,6 +135,11 @@
         client.data_arrived_at = client.unread_since = 0.0
         client.is_held_back = False
 
+    def reject_waiting(self, client: ClientConnection) -> None:
+        """Reject the requests of a connection that were read and wait, before those of any other one."""
+        client.rejects_requests = RejectReason.PLACE_NEEDED
+        self.turns.hasten(client)
+
     def resume_if_paused(self, client: ClientConnection) -> bool:
         """Resume a connection if it is paused; returns whether a request was handled."""
         unparsed = len(client.parser)
@@ -148,8 +154,8 @@
         """
         if not client.paused or client.authenticating or not self.registry.is_open(client):
             return
-        if client.rejects_requests is None and self._is_overload(delay):
-            client.rejects_requests = RejectReason.OVERLOAD
+        if client.rejects_requests is None:
+            client.rejects_requests = self._reason_to_reject(client, delay)
         if not client.pending_replies:
             client.data_arrived_at = client.paused_at  # it waited for its turn, and for no earlier reply
         self.resume(client)
@@ -219,13 +225,16 @@
     def _reject_requests(self, client: ClientConnection) -> None:
         """Reject requests without a look at what they hold. They have not run, so a retry is harmless."""
         assert client.rejects_requests is not None
-        for _ in range(MAX_REJECTIONS_PER_TURN):
-            if client.parser.next() is None:
+        count = 0
+        while count < MAX_REJECTIONS_PER_TURN:
+            discarded = client.parser.discard(MAX_REJECTIONS_PER_TURN - count)
+            if not discarded:
                 client.rejects_requests = None
                 return
+            count += discarded
             client.has_sent_request = True
-            self.registry.rejections.record(client.rejects_requests)
-            self.reply_writer.reply(client, BUSY_REPLY)
+            self.registry.rejections.record(client.rejects_requests, count=discarded)
+            self.reply_writer.reply(client, BUSY_REPLY * discarded)
         if client.queued_reply_bytes > MAX_REJECTION_BYTES:
             client.draining = True
             client.parser.clear()
--- a/gaugehinge/net/request_turns.py
+++ b/gaugehinge/net/request_turns.py
@@ -16,7 +16,7 @@
 class RequestTurns:
     """Connections with requests that were read and wait to be handled, in the order of their turns.
 
-    A connection stands in the queue at most once.
+    A connection has one turn at most, which `hasten` puts before those of all others.
     """
 
     def __init__(
@@ -33,7 +33,9 @@
         self._close = close
         self._clock = clock
         self._take_turn = take_turn
-        self._waiting: deque[tuple[ClientConnection, float]] = deque()  # with the time since when
+        # Each with the time since when it waits. A connection that was hastened stands in both.
+        self._waiting: deque[tuple[ClientConnection, float]] = deque()
+        self._hastened: deque[tuple[ClientConnection, float]] = deque()
         self._added = trio.Event()
 
     def add(self, client: ClientConnection) -> None:
@@ -43,23 +45,31 @@
             self._waiting.append((client, self._clock()))
             self._added.set()
 
+    def hasten(self, client: ClientConnection) -> None:
+        """Give a connection the next turn, whether it is queued already or not."""
+        client.waits_for_turn = True
+        self._hastened.append((client, self._clock()))
+        self._added.set()
+
     async def run(self) -> None:
         """Give turns until cancelled."""
         while True:
             await self._added.wait()
-            while self._waiting:
+            while self._waiting or self._hastened:
                 self._give_turns()
                 await trio.lowlevel.checkpoint()
             self._added = trio.Event()
 
     def _give_turns(self) -> None:
         end = self._clock() + MAX_STEP_TIME
-        while self._waiting:
-            self._give_turn(*self._waiting.popleft())
+        while queue := self._hastened or self._waiting:
+            self._give_turn(*queue.popleft())
             if self._clock() >= end:
                 return
 
     def _give_turn(self, client: ClientConnection, since: float) -> None:
+        if not client.waits_for_turn:  # it has had this turn already
+            return
         client.waits_for_turn = False
         try:
             self._take_turn(client, self._clock() - since)
--- a/gaugehinge/net/resp.py
+++ b/gaugehinge/net/resp.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -21,6 +22,8 @@
 NULL_BODY = -1  # offset of the body of a null
 INCOMPLETE = -1  # end of an array of which not all items have been parsed
 ERROR, STATUS, NUMBER, BULK, ARRAY = b"-+:$*"  # the first byte of a value
+ARRAY_HEAD = re.compile(rb"\*([1-9]|1[0-6])\r\n")  # up to MAX_ARRAY_ITEMS
+BULK_HEAD = re.compile(rb"\$(0|[1-9][0-9]{0,4})\r\n")
 
 
 class Malformed(Exception):
@@ -146,6 +149,38 @@
             raise Malformed("message too long")
         return None
 
+    def discard(self, limit: int) -> int:
+        """Discard up to `limit` complete messages; returns how many, 0 if the next one is incomplete.
+
+        Commands are only measured, which takes less than half the time of parsing. Raises Malformed.
+        """
+        count = end = 0
+        if self._position == 0:  # nothing of the next message is parsed
+            while count < limit and (next_end := self._command_end(end)):
+                end = next_end
+                count += 1
+        if count:
+            del self._buffer[:end]
+            self._begin_message()
+            return count
+        return 0 if self.next() is None else 1
+
+    def _command_end(self, start: int) -> int:
+        """Return the end of a complete array of bulk strings, or 0 for anything else."""
+        head = ARRAY_HEAD.match(self._buffer, start)
+        if head is None:
+            return 0
+        end = head.end()
+        for _ in range(int(head[1])):
+            item = BULK_HEAD.match(self._buffer, end)
+            if item is None:
+                return 0
+            body_end = item.end() + int(item[1])
+            end = body_end + CRLF_BYTES
+            if self._buffer[body_end:end] != CRLF or int(item[1]) > self.max_value_bytes:
+                return 0
+        return 0 if end - start > self.max_value_bytes + MAX_OVERHEAD_BYTES else end
+
     def _take_message(self, top: Frame) -> Message:
         """Remove a complete message from the buffer."""
         if top.end == len(self._buffer):  # nearly always the case
