Let arriving requests wait for turns while a step is long; leave room for ids of other clients

Callers saw: in the first second of a crowd with 300 commands each one step of the loop took up to 0.48 s, since each of some 400 connections had 16 requests handled as they were read; and the crowd's ids filled the room for ids, so that usual requests were refused for up to 4 s. Change: once connections wait for turns and the step has taken 20 ms, one request of what arrives is handled and the rest waits for its turn. From 80% of the room for ids on, queues are rejected and single requests not. Failed before: the test of ids (all refused) and the unit test of turns.

--- a/gaugehinge/net/client_server.py
+++ b/gaugehinge/net/client_server.py
@@ -269,6 +269,8 @@
             return None
         if self.registry.is_over_limit(client):
             return RejectReason.CONNECTIONS
+        if self.request_ids.is_nearly_full():
+            return RejectReason.REQUEST_IDS
         return RejectReason.OVERLOAD if delay > MAX_LOOP_DELAY else None
 
     def _submit(self, client: ClientConnection, request: ParsedRequest, size: int) -> None:
--- a/gaugehinge/net/recent_request_ids.py
+++ b/gaugehinge/net/recent_request_ids.py
@@ -14,6 +14,7 @@
 DIGEST_MARK = b"\0"  # no request ID contains it
 BYTES_PER_ID = 128  # memory of a remembered ID; one that is also in `written` counts twice
 MEMORY_FRACTION = 0.05  # of the memory of a front
+NEARLY_FULL_FRACTION = 0.8  # of the limit; the rest is left to clients without a queue of requests
 
 
 class RecentRequestIds:
@@ -61,6 +62,10 @@
         self._rotate(self._clock())  # while it is full, no ID is closed that would do so
         return 0 < self.max_ids <= len(self)
 
+    def is_nearly_full(self) -> bool:
+        """Whether the room that is left is for clients that send one request at a time."""
+        return 0 < self.max_ids * NEARLY_FULL_FRACTION <= len(self)
+
     def add(self, request_id: bytes) -> bytes:
         """Record that a request with this ID is in flight; returns the short form of the ID."""
         token = self._token(request_id)
--- a/gaugehinge/net/request_reader.py
+++ b/gaugehinge/net/request_reader.py
@@ -131,7 +131,7 @@
             self._count_unparsed_bytes(client)
             return
         client.data_arrived_at = arrived_at
-        self.resume(client)
+        self.resume(client, 1 if self.turns.is_behind else MAX_REQUESTS_PER_TURN)
         client.data_arrived_at = client.unread_since = 0.0
         client.is_held_back = False
 
@@ -171,8 +171,8 @@
         if self.registry.reader is not None:
             self.registry.reader.watch(client)
 
-    def resume(self, client: ClientConnection) -> None:
-        """Handle complete requests that were read, until too many are in flight or its turn is over.
+    def resume(self, client: ClientConnection, max_requests: int = MAX_REQUESTS_PER_TURN) -> None:
+        """Handle up to `max_requests` that were read completely, until too many are in flight.
 
         Some clients send hundreds of requests at once and disconnect. The end of the stream then follows
         bytes that are not read yet. Without the check for it here, the remaining requests were forwarded for
@@ -185,25 +185,25 @@
         client.paused = False
         if len(client.parser) > MIN_JOINED_BYTES:
             with self.reply_writer.joined_replies(client):
-                self._handle_or_reject(client)
+                self._handle_or_reject(client, max_requests)
         else:
-            self._handle_or_reject(client)
+            self._handle_or_reject(client, max_requests)
         if (client.unparsed_bytes or client.parser.held_bytes) and self.registry.is_open(client):
             self._count_unparsed_bytes(client)
 
-    def _handle_or_reject(self, client: ClientConnection) -> None:
+    def _handle_or_reject(self, client: ClientConnection, max_requests: int) -> None:
         try:
             if client.rejects_requests is not None:
                 self._reject_requests(client)
             else:
-                self._handle_requests(client)
+                self._handle_requests(client, max_requests)
         except Malformed as error:
             client.draining = True
             self.registry.closes.record(CloseReason.MALFORMED)
             self.reply_writer.reply(client, b"-ERR protocol: %b\r\n" % str(error).encode())
 
-    def _handle_requests(self, client: ClientConnection) -> None:
-        for _ in range(MAX_REQUESTS_PER_TURN):
+    def _handle_requests(self, client: ClientConnection, max_requests: int) -> None:
+        for _ in range(max_requests):
             if client.draining:
                 return
             if client.authenticating or len(client.pending_replies) >= MAX_PIPELINED_REQUESTS:
--- a/gaugehinge/net/request_turns.py
+++ b/gaugehinge/net/request_turns.py
@@ -11,6 +11,7 @@
 from .client_connection import ClientConnection
 
 MAX_STEP_TIME = 0.002  # seconds of turns in one step of the event loop
+LONG_STEP_TIME = 0.02  # seconds from one step to the next, from which requests that arrive wait for turns too
 
 
 class RequestTurns:
@@ -37,13 +38,23 @@
         self._waiting: deque[tuple[ClientConnection, float]] = deque()
         self._hastened: deque[tuple[ClientConnection, float]] = deque()
         self._added = trio.Event()
+        self._step_long_at = 0.0  # when the current step will have taken long
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether connections wait and the current step of the event loop has taken long."""
+        return bool(self._waiting) and self._clock() >= self._step_long_at
 
     def add(self, client: ClientConnection) -> None:
         """Queue a connection, unless it is queued already."""
-        if not client.waits_for_turn:
-            client.waits_for_turn = True
-            self._waiting.append((client, self._clock()))
-            self._added.set()
+        if client.waits_for_turn:
+            return
+        now = self._clock()
+        if not self._waiting:
+            self._step_long_at = now + LONG_STEP_TIME
+        client.waits_for_turn = True
+        self._waiting.append((client, now))
+        self._added.set()
 
     def hasten(self, client: ClientConnection) -> None:
         """Give a connection the next turn, whether it is queued already or not."""
@@ -65,7 +76,8 @@
         while queue := self._hastened or self._waiting:
             self._give_turn(*queue.popleft())
             if self._clock() >= end:
-                return
+                break
+        self._step_long_at = self._clock() + LONG_STEP_TIME
 
     def _give_turn(self, client: ClientConnection, since: float) -> None:
         if not client.waits_for_turn:  # it has had this turn already
--- a/tests/test_client_queues.py
+++ b/tests/test_client_queues.py
@@ -10,7 +10,7 @@
 from gaugehinge.net.client_connection import ClientConnection
 from gaugehinge.net.reason_log import RejectReason
 from gaugehinge.net.request_reader import MAX_REQUESTS_PER_TURN
-from gaugehinge.net.request_turns import RequestTurns
+from gaugehinge.net.request_turns import LONG_STEP_TIME, RequestTurns
 from gaugehinge.net.resp import Malformed, Parser
 from tests.helper import fleet, run
 from tests.overload import command, read
@@ -129,17 +129,37 @@
     run(scenario)
 
 
+def test_a_client_with_hundreds_of_requests_leaves_room_for_the_ids_of_others(tmp_path):
+    """Guards against issue 65 (b): one client's new ids took all the room, and others were refused."""
+
+    async def scenario():
+        async with fleet(tmp_path) as made:
+            allow_many(made)
+            made.service.clients.request_ids.max_ids = 100
+            flooding, usual = await made.client(), await made.client()
+            await flooding.stream.send_all(b"".join(read(b"k%d" % number, 4.0) for number in range(300)))
+            answers = [await flooding.answer() for _ in range(300)]
+            assert answers.count(b"-BUSY\r\n") >= 200
+            assert await usual.get() == b"$5\r\nof k1\r\n"
+
+    run(scenario)
+
+
 def test_a_hastened_connection_has_the_next_turn_and_only_one():
     """Guards against a queue in which a connection that gives up its place waits behind all others."""
-    turns_taken = []
-    turns = RequestTurns(lambda: 0.0, lambda client, delay: turns_taken.append(client), lambda client: None)
+    now, turns_taken = 0.0, []
+    turns = RequestTurns(lambda: now, lambda client, delay: turns_taken.append(client), lambda client: None)
     first, second, hastened = (ClientConnection(None, 0.0) for _ in range(3))
     turns.add(first)
+    assert not turns.is_behind
+    now += LONG_STEP_TIME
+    assert turns.is_behind  # what arrives now waits as well
     for client in (second, hastened):
         turns.add(client)
     turns.hasten(hastened)
     turns._give_turns()
     assert turns_taken == [hastened, first, second]
+    assert not turns.is_behind
 
 
 def test_an_idle_router_handles_what_arrives_at_once(tmp_path):
