--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -15,6 +15,7 @@
 import shutil
 import signal
 import socket
+import struct
 import tempfile
 import time
 import tomllib
@@ -181,7 +182,11 @@
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
-    """Break a connection with a reset."""
+    """Break a connection with a reset, not with an end of stream."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.transport.abort()
 
 
@@ -514,7 +519,9 @@
     """What a client got for one request."""
 
     request_id: str
-    kind: str  # served, busy, failed, lost (no answer in its time) or closed (no answer, connection ended)
+    # served, busy, failed, lost (no answer in its time), closed (no answer, connection ended) or refused (no
+    # connection came up)
+    kind: str
     body: bytes
     sent: float
     came: float
@@ -546,7 +553,9 @@
         try:
             fresh = self.writer is None
             if self.writer is None:
+                answer.kind = "refused"
                 self.reader, self.writer = await asyncio.open_connection(HOST, self.port)
+                answer.kind = "lost"
             sent = answer.sent = self.record.now()
             self.record.note("sent", id=request_id, key=key, labels=labels, fresh=fresh)
             self.writer.write(array(*words))
@@ -555,7 +564,8 @@
         except TimeoutError:
             self.close()
         except (OSError, EOFError, asyncio.IncompleteReadError) as error:
-            answer.kind, answer.body = "closed", type(error).__name__.encode()
+            answer.kind = "refused" if answer.kind == "refused" else "closed"
+            answer.body = type(error).__name__.encode()
             self.close()
         answer.came = self.record.now()
         self.record.note(
