--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -453,11 +453,15 @@
         new.write_text(json.dumps(told), encoding="utf-8")
         new.replace(self.folder / "config.json")
 
+    def command(self) -> str:
+        """Return the command of the deploy file that starts it."""
+        return tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))["run"]
+
     async def start(self, wait: bool = True) -> None:
         """Start the program, and wait until it answers PING."""
         self.port = self.port or free_port()
         self.configure()
-        command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))["run"]
+        command = self.command()
         environment = {
             **os.environ,
             "LB_NAME": self.name,
