--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""A client gets the first half of its receipt when the origin states a length that does not fit."""
+"""Routers go on sending to a draining cache server for as long as discovery answers 3 s late."""
 
 from __future__ import annotations
 
@@ -12,9 +12,7 @@
 sys.path.insert(0, str(FOLDER.parent / "standins2"))
 
 from world import (  # noqa: E402
-    ONCE,
     READ,
-    Answer,
     Cache,
     Client,
     Discovery,
@@ -22,68 +20,79 @@
     Record,
     Router,
     held,
-    http,
     play,
     settings,
 )
 
-SPOILT_SHARE = 0.1  # of the origin's answers
-SECONDS = 20.0
-CLIENTS = 10
+LATE = 3.0  # seconds by which discovery answers late
+CALM = 4.0  # seconds before that
+SLOW_BEFORE = 6.0  # seconds of it before the drain
+SLOW_AFTER = 25.0  # seconds of it after the drain
+TOLD_WITHIN = 6.0  # seconds after which a change counts as told, whether or not it arrived
+GRACE = 0.25 + 0.05  # seconds; the settings' grace, and what the protocol page adds to each time limit
+ROUTERS = 3
+CLIENTS = 4  # of each router
 WAIT = 2.0  # seconds
 
 
-async def misfit(origin: Origin, request: dict[str, str], writer: asyncio.StreamWriter) -> bytes:
-    """Answer as a sound origin, or with a length that is half of the body's, all in one write."""
-    await asyncio.sleep(origin.work)
-    body = origin.run(request)
-    if held() or random.random() >= SPOILT_SHARE:
-        return http(200, body)
-    origin.record.note("spoilt", id=request["id"])
-    return http(200, body).replace(
-        b"Content-Length: %d" % len(body), b"Content-Length: %d" % (len(body) // 2)
-    )
+async def turn_away(cache: Cache, texts: list[str], writer: asyncio.StreamWriter) -> bytes:
+    """Answer as a sound server that drains."""
+    return b"-BUSY\r\n"
 
 
 async def scene(record: Record) -> int:
-    """Play the case; return 1 if a client was served with anything but what was made for its request."""
-    origin = Origin(record, "origin", work=0.02, answer=misfit)
+    """Play the case; return 1 if a router sent to the draining server after its time."""
+    origin = Origin(record, "origin")
     discovery = Discovery(record, "discovery")
-    caches = [Cache(record, f"cache-{number}", holds=lambda key: False) for number in range(4)]
+    caches = [Cache(record, f"cache-{number}") for number in range(6)]
     for server in (origin, discovery, *caches):
         await server.start()
     discovery.put(origin.entry(), *[cache.entry() for cache in caches])
-    router = Router(record, "n0", settings(), discovery.address)
-    answers: list[Answer] = []
+    routers = [
+        Router(record, f"n{number}", settings(me=number, replicasOfMe=ROUTERS), discovery.address)
+        for number in range(ROUTERS)
+    ]
+    answers = []
     try:
-        await router.start()
-        end = record.now() + SECONDS
+        for router in routers:
+            router.known = discovery.whole()
+            await router.start()
+        end = record.now() + CALM + SLOW_BEFORE + SLOW_AFTER
 
-        async def ask_on() -> None:
+        async def ask_on(router: Router) -> None:
             client = Client(record, router.port)
             while record.now() < end:
-                key = f"chair{random.randrange(400)}"
-                if random.random() < 0.5:
-                    answers.append(await client.ask(READ, key, WAIT))
-                else:
-                    answers.append(await client.ask(ONCE, key, WAIT, value=b"09:30"))
-                await asyncio.sleep(0.1)
+                answers.append(await client.ask(READ, f"chair{random.randrange(400)}", WAIT))
+                await asyncio.sleep(0.05)
             client.close()
 
-        await asyncio.gather(*[ask_on() for _ in range(CLIENTS)])
+        asking = [asyncio.create_task(ask_on(router)) for router in routers for _ in range(CLIENTS)]
+        await asyncio.sleep(CALM)
+        if not held():
+            discovery.delay = LATE
+            record.note("slow", seconds=LATE)
+        await asyncio.sleep(SLOW_BEFORE)
+        caches[0].state, caches[0].answer = "draining", turn_away
+        drained_at = record.now()
+        discovery.put(caches[0].entry())
+        await asyncio.gather(*asking)
     finally:
-        await router.clear()
+        for router in routers:
+            await router.clear()
         for server in (origin, discovery, *caches):
             await server.stop()
-    made = {f"value of {answer.request_id} by {origin.name}".encode() for answer in answers}
-    wrong = [answer for answer in answers if answer.kind == "served" and answer.body not in made]
+    latest = drained_at + TOLD_WITHIN + GRACE
+    begun = [at for at, fields in record.of("begun") if fields["at"] == caches[0].name]
+    late = [at - drained_at for at in begun if at > latest]
     kinds = dict(Counter(answer.kind for answer in answers))
-    spoilt = len(record.of("spoilt"))
-    record.note("summary", answers=kinds, spoilt=spoilt, wrong=[answer.request_id for answer in wrong])
-    print(f"answers {kinds}, spoilt {spoilt}, served with something else {len(wrong)}")
-    if not any(answer.kind == "served" for answer in answers):
+    last = max((at - drained_at for at in begun), default=0.0)
+    record.note("summary", answers=kinds, drained_at=drained_at, late=len(late), last_after=last)
+    print(
+        f"answers {kinds}; sent after the drain's time: {len(late)}, the last {last:.2f} s after the listing"
+    )
+    if not any(answer.kind == "served" for answer in answers) or not any(at < drained_at for at in begun):
         return 2
-    return 1 if wrong else 0
+    return 1 if late else 0
 
 
 if __name__ == "__main__":
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Routers go on sending to a draining cache server for as long as discovery answers 3 s late."""
+"""A client gets the first half of its receipt when the origin states a length that does not fit."""
 
 from __future__ import annotations
 
@@ -12,7 +12,9 @@
 sys.path.insert(0, str(FOLDER.parent / "standins2"))
 
 from world import (  # noqa: E402
+    ONCE,
     READ,
+    Answer,
     Cache,
     Client,
     Discovery,
@@ -20,79 +22,68 @@
     Record,
     Router,
     held,
+    http,
     play,
     settings,
 )
 
-LATE = 3.0  # seconds by which discovery answers late
-CALM = 4.0  # seconds before that
-SLOW_BEFORE = 6.0  # seconds of it before the drain
-SLOW_AFTER = 25.0  # seconds of it after the drain
-TOLD_WITHIN = 6.0  # seconds after which a change counts as told, whether or not it arrived
-GRACE = 0.25 + 0.05  # seconds; the settings' grace, and what the protocol page adds to each time limit
-ROUTERS = 3
-CLIENTS = 4  # of each router
+SPOILT_SHARE = 0.1  # of the origin's answers
+SECONDS = 20.0
+CLIENTS = 10
 WAIT = 2.0  # seconds
 
 
-async def turn_away(cache: Cache, texts: list[str], writer: asyncio.StreamWriter) -> bytes:
-    """Answer as a sound server that drains."""
-    return b"-BUSY\r\n"
+async def misfit(origin: Origin, request: dict[str, str], writer: asyncio.StreamWriter) -> bytes:
+    """Answer as a sound origin, or with a length that is half of the body's, all in one write."""
+    await asyncio.sleep(origin.work)
+    body = origin.run(request)
+    if held() or random.random() >= SPOILT_SHARE:
+        return http(200, body)
+    origin.record.note("spoilt", id=request["id"])
+    return http(200, body).replace(
+        b"Content-Length: %d" % len(body), b"Content-Length: %d" % (len(body) // 2)
+    )
 
 
 async def scene(record: Record) -> int:
-    """Play the case; return 1 if a router sent to the draining server after its time."""
-    origin = Origin(record, "origin")
+    """Play the case; return 1 if a client was served with anything but what was made for its request."""
+    origin = Origin(record, "origin", work=0.02, answer=misfit)
     discovery = Discovery(record, "discovery")
-    caches = [Cache(record, f"cache-{number}") for number in range(6)]
+    caches = [Cache(record, f"cache-{number}", holds=lambda key: False) for number in range(4)]
     for server in (origin, discovery, *caches):
         await server.start()
     discovery.put(origin.entry(), *[cache.entry() for cache in caches])
-    routers = [
-        Router(record, f"n{number}", settings(me=number, replicasOfMe=ROUTERS), discovery.address)
-        for number in range(ROUTERS)
-    ]
-    answers = []
+    router = Router(record, "n0", settings(), discovery.address)
+    answers: list[Answer] = []
     try:
-        for router in routers:
-            router.known = discovery.whole()
-            await router.start()
-        end = record.now() + CALM + SLOW_BEFORE + SLOW_AFTER
+        await router.start()
+        end = record.now() + SECONDS
 
-        async def ask_on(router: Router) -> None:
+        async def ask_on() -> None:
             client = Client(record, router.port)
             while record.now() < end:
-                answers.append(await client.ask(READ, f"chair{random.randrange(400)}", WAIT))
-                await asyncio.sleep(0.05)
+                key = f"chair{random.randrange(400)}"
+                if random.random() < 0.5:
+                    answers.append(await client.ask(READ, key, WAIT))
+                else:
+                    answers.append(await client.ask(ONCE, key, WAIT, value=b"09:30"))
+                await asyncio.sleep(0.1)
             client.close()
 
-        asking = [asyncio.create_task(ask_on(router)) for router in routers for _ in range(CLIENTS)]
-        await asyncio.sleep(CALM)
-        if not held():
-            discovery.delay = LATE
-            record.note("slow", seconds=LATE)
-        await asyncio.sleep(SLOW_BEFORE)
-        caches[0].state, caches[0].answer = "draining", turn_away
-        drained_at = record.now()
-        discovery.put(caches[0].entry())
-        await asyncio.gather(*asking)
+        await asyncio.gather(*[ask_on() for _ in range(CLIENTS)])
     finally:
-        for router in routers:
-            await router.clear()
+        await router.clear()
         for server in (origin, discovery, *caches):
             await server.stop()
-    latest = drained_at + TOLD_WITHIN + GRACE
-    begun = [at for at, fields in record.of("begun") if fields["at"] == caches[0].name]
-    late = [at - drained_at for at in begun if at > latest]
+    made = {f"value of {answer.request_id} by {origin.name}".encode() for answer in answers}
+    wrong = [answer for answer in answers if answer.kind == "served" and answer.body not in made]
     kinds = dict(Counter(answer.kind for answer in answers))
-    last = max((at - drained_at for at in begun), default=0.0)
-    record.note("summary", answers=kinds, drained_at=drained_at, late=len(late), last_after=last)
-    print(
-        f"answers {kinds}; sent after the drain's time: {len(late)}, the last {last:.2f} s after the listing"
-    )
-    if not any(answer.kind == "served" for answer in answers) or not any(at < drained_at for at in begun):
+    spoilt = len(record.of("spoilt"))
+    record.note("summary", answers=kinds, spoilt=spoilt, wrong=[answer.request_id for answer in wrong])
+    print(f"answers {kinds}, spoilt {spoilt}, served with something else {len(wrong)}")
+    if not any(answer.kind == "served" for answer in answers):
         return 2
-    return 1 if late else 0
+    return 1 if wrong else 0
 
 
 if __name__ == "__main__":
