Origin: fail a first response whose stated length is not that of its body

What callers saw: the first half of a value, or of the receipt of an unrepeatable write, as if it were whole. Cause: bytes behind the stated end that begin no other response were doubted on a reused connection only. Also: such bytes counted as a response from their first byte (a value that ends in H), and a length too large by a second copy was believed, at cache servers as well where the reply was a connection's first. Why it works: by its bytes such an answer cannot be told from a good one with noise behind it. The rule lets a router fail both and forbids to serve half a value. A whole second copy right behind is still told apart.

--- a/gaugehinge/net/http_exchange.py
+++ b/gaugehinge/net/http_exchange.py
@@ -22,14 +22,16 @@
 class HttpResponse(NamedTuple):
     """A complete HTTP response.
 
-    `is_mixed`: its head contains another head, or it is followed by bytes that do not start another response.
+    `is_head_mixed`: its head contains another head. `has_excess`: it is followed by bytes that do not start
+    another response, so the length that it states may be too small for its body.
     """
 
     status: int
     headers: dict[bytes, bytes]  # names in lower case
     body: bytes
     reusable: bool  # whether the connection can carry another request
-    is_mixed: bool = False
+    is_head_mixed: bool = False
+    has_excess: bool = False
 
 
 class HttpExchange:
@@ -98,7 +100,7 @@
             return self._parse(rest) if rest else None
         if not rest:
             return response
-        return response._replace(reusable=False, is_mixed=response.is_mixed or not _starts_response(rest))
+        return response._replace(reusable=False, has_excess=not rest.startswith(RESPONSE_START))
 
     def _parse_heads(self, searched: int) -> tuple[HttpResponse | None, int]:
         """Parse complete heads up to that of the final response, which interim responses may precede.
@@ -167,8 +169,10 @@
         reusable = reusable and trailing_data == (b"", False)
         if reusable:
             self._state.start_next_cycle()
-        is_mixed = self._is_head_mixed or not _starts_response(trailing)
-        return HttpResponse(head.status_code, dict(head.headers), body, reusable, is_mixed)
+        has_excess = bool(trailing) and not trailing.startswith(RESPONSE_START)
+        return HttpResponse(
+            head.status_code, dict(head.headers), body, reusable, self._is_head_mixed, has_excess
+        )
 
 
 def _stated_length(head: h11.Response) -> int | None:
@@ -177,8 +181,3 @@
     if b"transfer-encoding" in headers or b"content-length" not in headers:
         return None
     return int(headers[b"content-length"])
-
-
-def _starts_response(data: bytes) -> bool:
-    """Whether the bytes after a response are the start of another one, as far as they were received."""
-    return data.startswith(RESPONSE_START[: len(data)])
--- a/gaugehinge/net/reply_doubts.py
+++ b/gaugehinge/net/reply_doubts.py
@@ -9,11 +9,12 @@
 
 
 class DoubtCause(Enum):
-    """Why a reply may not be the one to the last request."""
+    """Why a reply may not be the whole one to the last request."""
 
     REPEATED = "repeated"  # an earlier reply on the connection had the same content
     SUSPECT = "behind a suspect"  # the reply before may have been a copy
     MIXED = "mixed"  # it contains part of another reply
+    EXCESS = "longer than stated"  # bytes follow it that may be the rest of its value
     ENDING = "ending"  # it ends like the start of a reply, perhaps with the first bytes of another one
 
 
--- a/gaugehinge/net/resp_codec.py
+++ b/gaugehinge/net/resp_codec.py
@@ -24,6 +24,10 @@
 FENCE_STATUS = b"OK"
 REPLY_HEAD = b"*3\r\n"  # of every reply except errors
 EMBEDDED_REPLY_START = re.compile(rb"-[A-Z]|\*3")  # in a line made of a truncated reply and the next one
+# The status and the load report that end a reply, and the head of the next one.
+REPLY_END_AND_HEAD = re.compile(
+    rb"\r\n\$(?:-1|\d+\r\n[^\r\n]*)\r\n(?::-?\d+|\$(?:-1|\d+\r\n[^\r\n]*))\r\n\*3\r\n"
+)
 NON_LOAD_REPORT_KINDS = (ARRAY, ERROR, STATUS)
 
 
@@ -129,6 +133,8 @@
         _check_trailing_bytes(message, state.parser.unparsed())
     if state.is_reused:
         _check_for_embedded_reply(message)
+    else:
+        _check_for_embedded_end(message)
     reply = read_reply(message)
     if has_more or state.fence.is_armed or state.replies.is_full():
         return reply._replace(reusable=False)
@@ -162,6 +168,15 @@
         raise ConnectionLost("reply contains another one")
 
 
+def _check_for_embedded_end(message: Message) -> None:
+    """Raise MalformedReply if the first reply on a connection contains its end and the head of another one.
+
+    The length of its value is then too large, and a second copy of the reply has completed it.
+    """
+    if message.raw.find(REPLY_HEAD, 1) >= 0 and REPLY_END_AND_HEAD.search(message.raw):
+        raise MalformedReply("reply contains the end of a reply and another one")
+
+
 def read_reply(message: Message) -> ServerReply:
     """Interpret a cache server's complete reply. Raises MalformedReply if its form is unknown."""
     top = message.top
