Discovery: keep overdue polls open beside new ones, and wait as long as it usually answers

What callers saw: with discovery that answers 3 s late routers sent to a draining server for as long as that lasted, and a router that started without a list never got one. Cause: a poll that was overdue by a fixed time, 2.5 s at most, was given up with its connection, and the next one began with the same limits. A silent connection and a slow service look alike until something is answered. Change: an overdue poll stays open and another one is sent beside it; whichever answers is taken and shows that those before it were lost. Later polls take the place of the next one. The longest of eight answer times is waited for, waits are cut so that a lost poll and the next answer fit into 6 s. At most six polls are open, spread by age, so that no answer time locks a router out. Changes since a version of before the numbers began anew are not taken. The tests of discovery, moves, outages, empty and copied lists pass: 878 and the known failure. Why it works: no limit ends a wait for an answer any more; limits only say when to ask again.

--- a/gaugehinge/net/discovery.py
+++ b/gaugehinge/net/discovery.py
@@ -1,39 +1,29 @@
-"""Discovery client: keeps one watch at a time on the endpoint list and passes updates on.
+"""Discovery client: follows the endpoint list and passes updates on.
 
-The timing of polls, with the worst case until a change is known, is in `discovery_schedule`; the HTTP calls
-are in `discovery_watch`.
+The timing of polls, with the worst case until a change is known, is in `discovery_schedule`; the order of
+polls is in `poll_loop`; the polls that wait for their answers are in `discovery_polls`; the HTTP calls are in
+`discovery_watch`.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import NamedTuple
 
 import trio
 from loguru import logger
 
 from ..settings import SettingsError
 from .configuration import Address
-from .discovery_schedule import (
-    MAX_RECONNECTS,
-    MIN_POLL_INTERVAL,
-    DiscoverySchedule,
-    PollTiming,
-)
-from .discovery_watch import ENDPOINTS_PATH, PollError, PollTimeoutError, Watch
+from .discovery_polls import PendingPoll, PollsInFlight
+from .discovery_schedule import MIN_POLL_INTERVAL, DiscoverySchedule, PollTiming
+from .discovery_watch import ENDPOINTS_PATH, PollError, Watch
 from .endpoint_list import EndpointListUpdate
+from .poll_loop import NextPoll, PollLoop, PollRequest
 from .timer_queue import Timer, TimerQueue
 
 
-class WatchEnd(NamedTuple):
-    """How a series of polls ended."""
-
-    timed_out: bool  # the last poll got no answer in time; otherwise it failed
-    answered: bool  # whether any poll before it was answered
-
-
 class DiscoveryClient:
-    """Follows the endpoint list with one watch at a time."""
+    """Follows the endpoint list."""
 
     def __init__(
         self,
@@ -65,12 +55,14 @@
         self.agent_unreachable = False
         self.moved = False  # to an address that has not answered yet; its version numbers may be unrelated
         self.newest_version = version  # of the lists that were accepted
-        self._older_full_list_seen = False  # since the last list that was accepted
+        self._older_list_seen = False  # since the last list that was accepted, as is the following
+        self._older_full_list_seen = False
         self._may_be_restarted = False  # another process may answer, whose version numbers may be unrelated
         self._schedule = DiscoverySchedule(seed, local_agent, router_count)
         self._drain_grace = drain_grace
         self._list_has_servers = version is not None  # whether the list in use names any
         self._empty_list_timer: Timer | None = None  # fires when a list without servers is accepted
+        self._loop: PollLoop | None = None
         self._watch_scope: trio.CancelScope | None = None
 
     def move(self, address: Address) -> None:
@@ -88,115 +80,103 @@
         if self.local_agent:
             self.version = None
         self._schedule.on_discovery_moved()
-        if self._watch_scope is not None:
-            self._watch_scope.cancel()
+        self._stop_watch()
 
     def start_watch(self) -> None:
-        """Start a watch; it replaces the current one if that has not ended."""
+        """Start to poll, or poll again after a failure was reported; polls in flight are kept."""
+        if self._loop is not None:
+            self._loop.resume()
+            return
+        self._loop = PollLoop(self, self._schedule, self.timers)
+        self._watch_scope = trio.CancelScope()
+        self.nursery.start_soon(self._run_loop, self._loop, self._watch_scope)
+
+    def _stop_watch(self) -> None:
         if self._watch_scope is not None:
             self._watch_scope.cancel()
-        self._watch_scope = trio.CancelScope()
-        self.nursery.start_soon(self._run_watch, self._watch_scope)
+        self._loop = self._watch_scope = None
 
-    async def _run_watch(self, scope: trio.CancelScope) -> None:
-        watch = Watch(self.address, self.timers)
-        watch.drops_late_copies = self.local_agent
-        watch.on_connection_lost = self._on_connection_lost
+    async def _run_loop(self, loop: PollLoop, scope: trio.CancelScope) -> None:
         try:
             with scope:
-                await self._watch_and_reconnect(watch, scope)
-                if not scope.cancel_called:
-                    self.on_failure()
+                async with trio.open_nursery() as nursery:
+                    await loop.run(PollsInFlight(nursery))
         except Exception:
             logger.exception("discovery watch failed")
-            self.on_failure()
-        finally:
-            watch.close()
+            if self._loop is loop:
+                self._loop = self._watch_scope = None
+                self.on_failure()
 
-    async def _watch_and_reconnect(self, watch: Watch, scope: trio.CancelScope) -> None:
-        """Poll and reconnect for as long as the connection fails and not the service.
+    # -- for the poll loop
 
-        A local agent is polled again after any failure.
-        """
-        timing, failures = self._schedule.initial(), 0
-        while not scope.cancel_called:
-            end = await self._poll_until_failure(watch, scope, timing)
-            if scope.cancel_called:
-                return
-            failures = 1 if end.answered else failures + 1
-            if end.timed_out and (failures <= MAX_RECONNECTS or self.local_agent):
-                # Reconnect at once: changes that the silent connection missed soon count as notified. The
-                # backoff of the decision module, used after a refusal, took up to 1.5 s of the 6 s allowed.
-                if failures == 1:
-                    logger.info("discovery watch timed out at version {}: reconnecting", self.version)
-                await trio.sleep(self._schedule.reconnect_delay())
-            elif self.local_agent:
-                await self._wait_for_agent()
-            else:
-                return
-            timing = self._schedule.after_failure()
-
-    async def _wait_for_agent(self) -> None:
-        delay = self._schedule.agent_retry_delay()
-        if not self.agent_unreachable:
-            self.agent_unreachable = True
-            logger.warning(
-                "discovery agent unreachable at version {}: retrying every {} s", self.version, delay
-            )
-        await trio.sleep(delay)
-
-    async def _poll_until_failure(
-        self, watch: Watch, scope: trio.CancelScope, timing: PollTiming
-    ) -> WatchEnd:
-        answered = False
-        while True:
-            polled_at = self.timers.clock()
-            try:
-                update = await self._poll(watch, timing)
-            except (PollError, SettingsError) as error:
-                if not scope.cancel_called:
-                    self._on_poll_error(error)
-                return WatchEnd(isinstance(error, PollTimeoutError), answered)
-            if scope.cancel_called:  # the list may have arrived just as the watch was cancelled
-                return WatchEnd(timed_out=False, answered=answered)
-            answered = True
-            if self._may_be_restarted and not update.complete:
-                self._schedule.schedule_restart_check(self.timers.clock())
-            if self._is_stale(update):
-                watch.close()
-                await trio.sleep(self._schedule.reconnect_delay())
-                continue
-            if self._is_unconfirmed_empty_list(update):
-                await trio.sleep(self._schedule.empty_list_recheck_delay())
-                continue
-            self._accept(update)
-            if self.timers.clock() - polled_at < MIN_POLL_INTERVAL:
-                await trio.sleep(MIN_POLL_INTERVAL)  # the service answers at once, whatever the wait
-            timing = self._schedule.subsequent()
-
-    async def _poll(self, watch: Watch, timing: PollTiming) -> EndpointListUpdate:
-        """Poll for changes, or for the whole list if that is due, which is answered without a wait."""
+    def new_watch(self) -> Watch:
+        """Return a watch without a connection."""
+        watch = Watch(self.address, self.timers)
+        watch.drops_late_copies = self.local_agent
+        watch.on_connection_lost = self._on_connection_lost
+        return watch
+
+    def next_request(self, timing: PollTiming) -> PollRequest:
+        """Ask for changes, or for the whole list if that is due, which is answered without a wait."""
         now = self.timers.clock()
         if self.version is None or now >= self._schedule.full_poll_at:
             self._schedule.postpone_full_poll(now)  # in case this poll fails
-            update = await watch.poll(ENDPOINTS_PATH, timing.grace)
-            self._may_be_restarted = False
-            return update
+            return PollRequest(ENDPOINTS_PATH, 0.0, since=None)
         wait = timing.wait
         if not self._list_has_servers or self._may_be_restarted:
             wait = min(wait, max(self._schedule.full_poll_at - now, MIN_POLL_INTERVAL))
         target = f"{ENDPOINTS_PATH}?index={self.version}&wait={int(wait * 1000)}"
-        return await watch.poll(target, wait + timing.grace)
+        return PollRequest(target, wait, self.version)
 
-    def _on_connection_lost(self) -> None:
-        self._may_be_restarted = True
+    def needs_full_poll(self) -> bool:
+        """Whether changes since a version are of no use."""
+        return self.version is None
+
+    def needs_confirmation(self) -> bool:
+        """Whether an older whole list is accepted only if it is sent twice, and was not sent yet."""
+        return self._older_list_seen and not (self._older_full_list_seen or self.moved)
+
+    def on_list(self, poll: PendingPoll, update: EndpointListUpdate) -> NextPoll:
+        """Accept a list or discard it; return when to poll next."""
+        if poll.is_full:
+            self._may_be_restarted = False
+        elif self._may_be_restarted and not update.complete:
+            self._schedule.schedule_restart_check(self.timers.clock())
+        if self._is_unrelated(poll, update):
+            return NextPoll(0.0, self._schedule.subsequent())
+        if self._is_stale(update):
+            poll.watch.close()
+            return NextPoll(self._schedule.reconnect_delay(), poll.timing)
+        if self._is_unconfirmed_empty_list(update):
+            return NextPoll(self._schedule.empty_list_recheck_delay(), poll.timing)
+        self._accept(update)
+        # The service may answer at once, whatever the wait.
+        is_immediate = self.timers.clock() - poll.sent_at < MIN_POLL_INTERVAL
+        return NextPoll(MIN_POLL_INTERVAL if is_immediate else 0.0, self._schedule.subsequent())
+
+    def on_overdue(self) -> None:
+        """Poll the whole list next at an address that has not answered."""
+        if self.moved:
+            self.version = None  # its numbers may differ: it may be waiting for a version far ahead
 
-    def _on_poll_error(self, error: PollError | SettingsError) -> None:
+    def on_poll_error(self, error: PollError | SettingsError) -> None:
+        """Poll the whole list after an invalid one: changes cannot be applied on top of it."""
         if isinstance(error, SettingsError):
             logger.warning("invalid endpoint list: {}", error)
-            self.version = None  # changes cannot be applied on top of an invalid list
-        elif isinstance(error, PollTimeoutError) and self.moved:
-            self.version = None  # its numbers may differ: it may be waiting for a version far ahead
+            self.version = None
+
+    def agent_retry_delay(self) -> float:
+        """Return the delay in seconds after a failed poll of an agent on this machine."""
+        delay = self._schedule.agent_retry_delay()
+        if not self.agent_unreachable:
+            self.agent_unreachable = True
+            logger.warning(
+                "discovery agent unreachable at version {}: retrying every {} s", self.version, delay
+            )
+        return delay
+
+    def _on_connection_lost(self) -> None:
+        self._may_be_restarted = True
 
     def _is_unconfirmed_empty_list(self, update: EndpointListUpdate) -> bool:
         """Whether to keep the former list, since this one has no server, and poll the whole list again.
@@ -245,6 +225,15 @@
             update.rev
         )  # set last: an update that could not be used is sent again
 
+    def _is_unrelated(self, poll: PendingPoll, update: EndpointListUpdate) -> bool:
+        """Whether an answer has the changes since a version from before the numbers began anew.
+
+        It would lack the changes since then, and have the newest version nonetheless.
+        """
+        if update.complete or poll.since is None or self.newest_version is None:
+            return False
+        return poll.since > self.newest_version
+
     def _is_stale(self, update: EndpointListUpdate) -> bool:
         """Whether to discard a list and poll the whole list on a new connection.
 
@@ -253,9 +242,10 @@
         second time, and it is accepted then. A list from an agent counts as notified whatever its version.
         """
         if self.newest_version is None or update.rev >= self.newest_version or self.local_agent:
-            self._older_full_list_seen = False
+            self._older_list_seen = self._older_full_list_seen = False
             return False
         self.version = None
+        self._older_list_seen = True
         if not update.complete:
             return True
         self._older_full_list_seen = not self._older_full_list_seen
--- a/gaugehinge/net/discovery_schedule.py
+++ b/gaugehinge/net/discovery_schedule.py
@@ -1,24 +1,30 @@
 """When discovery is polled, how long a poll may take, and how long to pause after one that failed.
 
 A poll is a long poll: it asks for changes since a version and states a wait. Discovery answers as soon as
-there is a change, or without one at the end of the wait. A poll times out if the answer has not arrived a
-further time, the grace, after the wait. A full poll asks for the whole list and is answered at once.
+there is a change, or without one at the end of the wait. A poll is overdue if the answer has not arrived a
+further time, the grace, after the wait; another poll is then sent beside it. A full poll asks for the whole
+list and is answered at once.
 
 Worst case: a change that a silent watch misses counts as notified 6 s after the watch fell silent, or 2 s
 after the wait of the open poll ended, whichever is later. The worst is a watch that falls silent just as a
 poll is sent, at time T:
 
-- The poll times out at T + LONG_POLL_WAIT + RESPONSE_GRACE = T + 3.75.
+- The poll is overdue at T + LONG_POLL_WAIT + RESPONSE_GRACE = T + 3.75.
 - A new connection polls by T + 4.0 (RECONNECT_JITTER). Its answer is due at once.
 - If that connection is silent too, another one polls by T + 5.3 (RECONNECT_WAIT + RECONNECT_GRACE +
   RECONNECT_JITTER).
 
 That leaves 0.7 s of the 6 s for the last answer. If the poll had been open for longer, the limits are later.
+
+A service that answers late is given its usual answer time before a poll is overdue, since a further poll
+makes it slower. Where that would be too late for a watch that has fallen silent, the waits are shorter, and
+then the polls closer together, so that wait, grace and the next answer fit into the 6 s.
 """
 
 from __future__ import annotations
 
 import zlib
+from collections import deque
 from math import inf
 from typing import NamedTuple
 
@@ -35,6 +41,18 @@
 RECONNECT_WAIT = 0.05  # of the first poll after that
 RECONNECT_GRACE = 1.0
 MAX_RECONNECTS = 2  # after more timeouts in a row, the decision module sets the next poll
+NOTIFICATION_TIME = 6.0  # after which a change counts as notified
+HEADROOM = 0.5  # of the notification time, for connecting and for the list's transfer
+ANSWER_TIME_SAMPLES = 8
+ANSWER_TIME_MARGIN = 0.25  # above the longest recent answer time
+MAX_PATIENCE = 6.0  # after the wait of a poll, however late the service has answered
+MIN_PATIENCE = 0.5
+# Of the service, up to which a poll is sent beside one that is not overdue. That doubles the load: a service
+# that works through it in turn answers in twice the time.
+MAX_ANSWER_TIME_FOR_EARLY_POLLS = 3.75
+MAX_SLOWDOWN = 0.5  # of the answers by early polls, above which the service is short of capacity
+EARLY_POLLS_PAUSE = 30.0  # after that
+REPLACEMENT_INTERVAL = 4.0  # between polls that each take the place of one that may still be answered
 # If discovery at a new address continues from the known version, the whole list is polled after this delay
 # plus a fraction of the jitter that differs by router: sending the whole list to a whole fleet at once took
 # discovery half a minute.
@@ -53,6 +71,7 @@
 MAX_STALL = 0.2  # stall of the router that the drain grace has to cover as well
 MIN_POLL_INTERVAL = 0.05  # after a poll that is answered at once; discovery keeps a watch for 0.2 s
 
+CONFIRMATION_DELAY = 0.5  # before the second poll of a whole list that has to be sent twice
 MAX_DOUBLINGS = 8  # bounds the exponent; the delay has reached its maximum by then
 CRC32_RANGE = 1 << 32
 
@@ -73,7 +92,11 @@
         `router_count`: number of routers that poll the same discovery.
         """
         self._router_count = router_count
-        self.initial_grace = RESPONSE_GRACE if local_agent else INITIAL_GRACE
+        self._initial_grace = RESPONSE_GRACE if local_agent else INITIAL_GRACE
+        self._answer_times: deque[float] = deque(maxlen=ANSWER_TIME_SAMPLES)
+        self._early_polls_from = 0.0  # clock time
+        self._early_polls_sent = False  # since the last pause
+        self._unloaded_answer_time = 0.0  # without early polls
         self.full_poll_at = inf  # clock time at which the whole list is polled as a check
         self._seed = seed
         self._empty_lists = 0  # in a row
@@ -81,11 +104,62 @@
 
     def initial(self) -> PollTiming:
         """Return the timing of a watch's first poll."""
-        return PollTiming(INITIAL_WAIT, self.initial_grace)
+        return PollTiming(self._shorten(INITIAL_WAIT), self._initial_grace)
 
     def subsequent(self) -> PollTiming:
         """Return the timing of a poll after one that was answered."""
-        return PollTiming(LONG_POLL_WAIT - LONG_POLL_JITTER * self._random_fraction(), RESPONSE_GRACE)
+        wait = LONG_POLL_WAIT - LONG_POLL_JITTER * self._random_fraction()
+        return PollTiming(self._shorten(wait), RESPONSE_GRACE)
+
+    def _shorten(self, wait: float) -> float:
+        """Return a wait that leaves time for the answer to another poll if the one to this is missed."""
+        longest = NOTIFICATION_TIME - HEADROOM - ANSWER_TIME_MARGIN - 2.0 * self.answer_time
+        return min(wait, max(longest, RECONNECT_WAIT))
+
+    @property
+    def answer_time(self) -> float:
+        """The longest of the service's recent answer times, in seconds, without the waits."""
+        return max(self._answer_times, default=0.0)
+
+    def on_answer(self, now: float, wait: float, elapsed: float) -> None:
+        """Note that a poll with a wait of `wait` seconds was answered after `elapsed` seconds.
+
+        An answer before the end of the wait shows no more than that the service is as fast as that.
+        """
+        if elapsed >= wait:
+            self._answer_times.append(elapsed - wait)
+        elif elapsed < self.answer_time:
+            self._answer_times.append(elapsed)
+        self._check_capacity(now)
+
+    def _check_capacity(self, now: float) -> None:
+        """Pause early polls if they have made the service slower."""
+        if not self._early_polls_sent or self.answer_time < self._unloaded_answer_time:
+            self._unloaded_answer_time = self.answer_time
+        if self.answer_time > self._unloaded_answer_time + MAX_SLOWDOWN:
+            self._early_polls_from = now + EARLY_POLLS_PAUSE
+            self._early_polls_sent = False
+
+    def _allows_early_poll(self, now: float) -> bool:
+        return now >= self._early_polls_from and self.answer_time <= MAX_ANSWER_TIME_FOR_EARLY_POLLS
+
+    def on_early_poll(self) -> None:
+        """Note that a poll is sent beside one that is not overdue by the service's answer time."""
+        self._early_polls_sent = True
+
+    def longest_answer_time(self) -> float:
+        """Return the seconds after which a poll without a wait counts as lost."""
+        return self.answer_time + ANSWER_TIME_MARGIN
+
+    def patience(self, timing: PollTiming) -> float:
+        """Return for how many seconds after its wait a poll is not overdue."""
+        return min(max(timing.grace, self.longest_answer_time()), MAX_PATIENCE)
+
+    def early_patience(self, now: float, timing: PollTiming) -> float:
+        """Return after how many seconds another poll is still in time if this one was lost."""
+        if not self._allows_early_poll(now):
+            return inf
+        return max(NOTIFICATION_TIME - HEADROOM - timing.wait - self.answer_time, MIN_PATIENCE)
 
     def after_failure(self) -> PollTiming:
         """Return the timing of the first poll after one that failed."""
@@ -101,7 +175,7 @@
 
     def on_discovery_moved(self) -> None:
         """Shorten the first grace: a new address's list counts as notified 4 s after the order to move."""
-        self.initial_grace = RESPONSE_GRACE
+        self._initial_grace = RESPONSE_GRACE
 
     def postpone_full_poll(self, now: float) -> None:
         """Schedule a poll of the whole list after FULL_POLL_DELAY and this router's part of the jitter."""
