Discovery: no shorter grace for good after a move; its own limit until a list came from there

What callers saw: behind one SIGHUP that moves discovery, with lists that come 1.4 s late, routers sent to a draining server until they were ended. Cause: the order to move cut the first grace from 2 s to 1.25 s and nothing put it back. Each first poll was given up, and each further one was for the whole list with no more time. Change: the cut is gone. Until a list came from the new address its first poll is held for 0.05 s at most, a stale list is followed by a poll of the whole one at once, and the whole list is polled beside the first poll so early that the usual answer time fits into the 4 s. Why it works: the time that a new address gets is counted for that address alone, and no answer is thrown away.

--- a/gaugehinge/net/discovery.py
+++ b/gaugehinge/net/discovery.py
@@ -79,7 +79,6 @@
         self._discard_unconfirmed_list()
         if self.local_agent:
             self.version = None
-        self._schedule.on_discovery_moved()
         self._stop_watch()
 
     def start_watch(self) -> None:
@@ -146,7 +145,8 @@
             return NextPoll(0.0, self._schedule.subsequent())
         if self._is_stale(update):
             poll.watch.close()
-            return NextPoll(self._schedule.reconnect_delay(), poll.timing)
+            delay = 0.0 if self.moved else self._schedule.reconnect_delay()
+            return NextPoll(delay, poll.timing)
         if self._is_unconfirmed_empty_list(update):
             return NextPoll(self._schedule.empty_list_recheck_delay(), poll.timing)
         self._accept(update)
--- a/gaugehinge/net/discovery_schedule.py
+++ b/gaugehinge/net/discovery_schedule.py
@@ -42,7 +42,9 @@
 RECONNECT_GRACE = 1.0
 MAX_RECONNECTS = 2  # after more timeouts in a row, the decision module sets the next poll
 NOTIFICATION_TIME = 6.0  # after which a change counts as notified
+NOTIFICATION_TIME_AFTER_MOVE = 4.0  # from the order to follow discovery at another address
 HEADROOM = 0.5  # of the notification time, for connecting and for the list's transfer
+HEADROOM_AFTER_MOVE = 1.0  # as above, and for the delay of the first poll
 ANSWER_TIME_SAMPLES = 8
 ANSWER_TIME_MARGIN = 0.25  # above the longest recent answer time
 MAX_PATIENCE = 6.0  # after the wait of a poll, however late the service has answered
@@ -102,8 +104,13 @@
         self._empty_lists = 0  # in a row
         self._draws = 0
 
-    def initial(self) -> PollTiming:
-        """Return the timing of a watch's first poll."""
+    def initial(self, moved: bool = False) -> PollTiming:
+        """Return the timing of a watch's first poll. `moved`: it is the first at another address.
+
+        There the answer may only show that the versions are others, and the whole list has to be in time.
+        """
+        if moved:
+            return PollTiming(RECONNECT_WAIT, RESPONSE_GRACE)
         return PollTiming(self._shorten(INITIAL_WAIT), self._initial_grace)
 
     def subsequent(self) -> PollTiming:
@@ -161,6 +168,11 @@
             return inf
         return max(NOTIFICATION_TIME - HEADROOM - timing.wait - self.answer_time, MIN_PATIENCE)
 
+    def patience_after_move(self, timing: PollTiming) -> float:
+        """Return after how many seconds the whole list has to be polled at another address."""
+        limit = NOTIFICATION_TIME_AFTER_MOVE - HEADROOM_AFTER_MOVE
+        return max(limit - timing.wait - self.answer_time, MIN_PATIENCE)
+
     def after_failure(self) -> PollTiming:
         """Return the timing of the first poll after one that failed."""
         return PollTiming(RECONNECT_WAIT, RECONNECT_GRACE)
@@ -173,10 +185,6 @@
         """Return the delay in seconds after a failed poll of an agent on this machine."""
         return AGENT_RETRY_DELAY
 
-    def on_discovery_moved(self) -> None:
-        """Shorten the first grace: a new address's list counts as notified 4 s after the order to move."""
-        self._initial_grace = RESPONSE_GRACE
-
     def postpone_full_poll(self, now: float) -> None:
         """Schedule a poll of the whole list after FULL_POLL_DELAY and this router's part of the jitter."""
         self.full_poll_at = now + FULL_POLL_DELAY + FULL_POLL_JITTER * self._part()
--- a/gaugehinge/net/poll_loop.py
+++ b/gaugehinge/net/poll_loop.py
@@ -40,6 +40,7 @@
     """Decides what is polled and what an answer means."""
 
     local_agent: bool
+    moved: bool
 
     def new_watch(self) -> Watch:
         """Return a watch without a connection."""
@@ -78,7 +79,7 @@
         self._schedule = schedule
         self._clock = timers.clock
         self._watch: Watch | None = None  # whose connection the next poll uses; None: a new one
-        self._timing = schedule.initial()  # of the next poll
+        self._timing = schedule.initial(handler.moved)  # of the next poll
         self._next_poll_at = self._clock()  # inf while none is due
         self._timeouts = 0  # overdue polls since the last answer
         self._failure_reported = False  # since the last answer and the last resumption
@@ -89,7 +90,7 @@
         if not self._failure_reported:
             return
         self._failure_reported = False
-        self._schedule_poll(0.0, self._schedule.initial())
+        self._schedule_poll(0.0, self._schedule.initial(self._handler.moved))
         self._timeouts = 0
         if self._polls is not None:
             self._polls.wake()
@@ -143,6 +144,8 @@
             return inf
         wait_ends_at = poll.sent_at + poll.timing.wait
         overdue_at = wait_ends_at + schedule.patience(poll.timing)
+        if self._handler.moved and not poll.is_full:
+            return min(overdue_at, wait_ends_at + schedule.patience_after_move(poll.timing))
         if self._handler.needs_confirmation() and poll.is_full and polls.second_newest is None:
             return min(overdue_at, wait_ends_at + CONFIRMATION_DELAY)
         early_at = wait_ends_at + schedule.early_patience(self._clock(), poll.timing)
@@ -171,7 +174,7 @@
         if self._timeouts > MAX_RECONNECTS and not self._handler.local_agent:
             self._report_failure()
             return
-        delay = 0.0 if is_early else self._schedule.reconnect_delay()
+        delay = 0.0 if is_early or self._handler.moved else self._schedule.reconnect_delay()
         self._schedule_poll(delay, self._schedule.after_failure())
 
     def _report_failure(self) -> None:
