Origin: look at what is unread behind a value before it is passed on

What callers saw: as before, the first part of a value, where the stated length ends just where a read does (the first takes 16 KiB), so that the rest of the body was received but not read. Cause: only bytes of the same read counted. Found by going through the reads of the same path, not by a case. Change: behind a value of the origin the first unread bytes are looked at, and stay unread; if they start no other response, the attempt fails as one whose response is longer than stated. Why it works: what the kernel has received by then is known, whatever the size of a read. What comes later is not.

--- a/gaugehinge/net/codec.py
+++ b/gaugehinge/net/codec.py
@@ -77,6 +77,7 @@
     value: bytes | None = None  # as sent to the client; for a redirection, its words
     reusable: bool = True  # whether the connection can carry another attempt
     reported_load: bytes = b""  # the server's load report, or whatever the server sent in its place
+    may_continue: bool = False  # whether unread bytes right behind it may be the rest of its value
 
 
 class Codec(Protocol):
--- a/gaugehinge/net/connection_pool.py
+++ b/gaugehinge/net/connection_pool.py
@@ -19,7 +19,9 @@
 from .connection_reuse import may_keep, may_reuse, on_doubtful_reply
 from .endpoint_list import EndpointListUpdate
 from .extensions import Extensions
+from .http_exchange import RESPONSE_START, is_excess
 from .receive_buffers import ReceiveBuffers
+from .reply_doubts import DoubtCause
 from .sockets import (
     acknowledgement_age,
     connect,
@@ -31,6 +33,7 @@
     shut,
     silent,
     tcp,
+    unread,
     wait_writable,
 )
 from .timer_queue import MIN_LATENESS, TimerQueue
@@ -451,7 +454,10 @@
             self._on_connection_ended(connection, error)
 
     def _on_data(self, connection: Connection, data: bytes) -> None:
-        """Handle received bytes, or b"" at the end of the stream. Raises ConnectionLost."""
+        """Handle received bytes, or b"" at the end of the stream.
+
+        Raises ConnectionLost, or DoubtfulReply if more of a reply was received than its stated length.
+        """
         pending = connection.pending
         if pending is None:
             raise ConnectionLost("end of stream or unsolicited bytes on an idle connection")
@@ -464,6 +470,8 @@
             _send_fence(connection)
             self._reserve_memory(connection, pending)
             return
+        if reply.may_continue and is_excess(unread(connection.sock, len(RESPONSE_START))):
+            raise DoubtfulReply(DoubtCause.EXCESS, affects_all_connections=False)
         if self._is_loop_late():
             pending.own_lag += input_age(connection.sock)
         connection.pending = pending.connection = None
--- a/gaugehinge/net/http_exchange.py
+++ b/gaugehinge/net/http_exchange.py
@@ -100,7 +100,7 @@
             return self._parse(rest) if rest else None
         if not rest:
             return response
-        return response._replace(reusable=False, has_excess=not rest.startswith(RESPONSE_START))
+        return response._replace(reusable=False, has_excess=is_excess(rest))
 
     def _parse_heads(self, searched: int) -> tuple[HttpResponse | None, int]:
         """Parse complete heads up to that of the final response, which interim responses may precede.
@@ -169,12 +169,17 @@
         reusable = reusable and trailing_data == (b"", False)
         if reusable:
             self._state.start_next_cycle()
-        has_excess = bool(trailing) and not trailing.startswith(RESPONSE_START)
+        has_excess = is_excess(trailing)
         return HttpResponse(
             head.status_code, dict(head.headers), body, reusable, self._is_head_mixed, has_excess
         )
 
 
+def is_excess(rest: bytes) -> bool:
+    """Whether the bytes behind a response start no other one, and so may be the rest of its body."""
+    return bool(rest) and not rest.startswith(RESPONSE_START)
+
+
 def _stated_length(head: h11.Response) -> int | None:
     """Return the length that a head states for its body; None if it states none or the body is chunked."""
     headers = dict(head.headers)
--- a/gaugehinge/net/origin_codec.py
+++ b/gaugehinge/net/origin_codec.py
@@ -80,7 +80,7 @@
         if response.status != HTTPStatus.OK:
             return ServerReply(outcome_of(response), reusable=False)
         reusable = response.reusable and not (state.responses.is_full() or self.endings.are_ambiguous)
-        return ServerReply(Outcome.SUCCEEDED, bulk(response.body), reusable)
+        return ServerReply(Outcome.SUCCEEDED, bulk(response.body), reusable, may_continue=True)
 
 
 def outcome_of(response: HttpResponse) -> Outcome:
--- a/gaugehinge/net/sockets.py
+++ b/gaugehinge/net/sockets.py
@@ -214,6 +214,14 @@
     return struct.unpack_from("I", info, offset)[0]
 
 
+def unread(sock: socket.socket, max_bytes: int) -> bytes:
+    """Return the first unread bytes of a connection, which stay unread; b"" if there are none."""
+    try:
+        return sock.recv(max_bytes, socket.MSG_PEEK)
+    except OSError:
+        return b""
+
+
 def silent(sock: socket.socket) -> bool:
     """Whether a connection is open with nothing to read, as an idle one must be."""
     try:
--- a/tests/test_misstated_lengths.py
+++ b/tests/test_misstated_lengths.py
@@ -146,3 +146,27 @@
         assert ids == ["i0", "i1", "i2", "i3"]
     else:
         assert answers == [bulk(b"receipt of i%d" % number) for number in range(4)]
+
+
+FIRST_READ = 16 * 1024  # bytes that are read at once, while no longer response is known to come
+
+
+@pytest.mark.parametrize("behind", ["rest", "nothing", "copy"])
+def test_the_rest_of_a_body_that_was_received_but_not_read_yet_is_noticed(tmp_path, behind):
+    """The stated length ends where the first read does, so that the rest is still in the socket."""
+    head_bytes = len(response(FIRST_READ, b""))
+    body = b"v" * (FIRST_READ - head_bytes)
+    assert len(response(len(body), body)) == FIRST_READ
+    own = response(len(body), body)
+
+    class Origin(Web):
+        async def answer(self, stream, told) -> None:
+            await stream.send_all(own + {"rest": b"w" * 99, "nothing": b"", "copy": own}[behind])
+
+    async def run():
+        async with fleet(tmp_path, [Cache("miss")]) as made:
+            made.origin.__class__ = Origin
+            made.origin.reply = lambda *call: (200, "", b"")
+            return await ask(await made.client(), "once", "i1")
+
+    assert trio.run(run) == (b"-ERR failed\r\n" if behind == "rest" else bulk(body))
