Origin: search a response's body for heads once again, not twice

Cause: searched the body of a response on a reused connection a second time, for a response of its own shape. Change: the one search looks for that shape as well.

--- a/gaugehinge/net/response_memory.py
+++ b/gaugehinge/net/response_memory.py
@@ -53,8 +53,6 @@
         """Return why a response on a reused connection may not answer the last request."""
         if response.is_head_mixed or self._contains_other_response(shape, response.body):
             return DoubtCause.MIXED
-        if _contains_copy(shape, response.body):
-            return DoubtCause.MIXED
         if response.has_excess:
             return DoubtCause.EXCESS
         if is_repeated:
@@ -82,13 +80,13 @@
         """Whether a body contains another response's head, and either has the shape of an earlier response.
 
         A stored value may contain such a head, too. A head that is truncated, or states no length, counts as
-        having the shape of an earlier response.
+        having the shape of an earlier response; one of the response's own shape is that of a copy.
         """
         if RESPONSE_START not in body:
             return False
         is_known = self._remembered.has(shape.key())
         return any(
-            is_known or inner is None or self._remembered.has(inner.key())
+            is_known or inner is None or inner == shape or self._remembered.has(inner.key())
             for inner in response_heads.shapes_within(body)
         )
 
