Tests: plant the fault of a watch that is never begun anew where it is noticed now

The faulty router 'deaf' took the time limit out of Watch.poll; polls have none since, so that nothing was planted and nothing found (test_standing_terms.py). test_parts.py compared the tail of HttpResponse, which has one field more since. Change: the fault is planted in PollLoop, which never finds a poll overdue; the comparison has the field, False for a sound answer.

--- a/gaugehinge/rehearsal/brokenterms.py
+++ b/gaugehinge/rehearsal/brokenterms.py
@@ -14,9 +14,9 @@
 from ..net.codec import RequestPayload
 from ..net.connection_registry import ConnectionRegistry
 from ..net.discovery import DiscoveryClient
-from ..net.discovery_watch import Watch
 from ..net.dispatcher import NO_HANDLE, Dispatcher
 from ..net.extensions import ReplyCallback
+from ..net.poll_loop import PollLoop
 from ..routing.types import Operation
 
 ASLEEP = 5.0  # seconds
@@ -28,12 +28,7 @@
 
 def deaf() -> None:
     """It never begins a watch anew that fell silent."""
-    right = Watch.poll
-
-    async def poll(self: Watch, target: str, time_limit: float) -> object:
-        return await right(self, target, inf)
-
-    Watch.poll = poll
+    PollLoop._overdue_at = lambda self, polls: inf
 
 
 def sleeps() -> None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -156,7 +156,7 @@
         talk = HttpExchange(100)
         talk.request("GET", "/k", [(b"Host", b"h")])
         answers = [talk.receive(piece) for piece in pieces]
-        assert answers[-1][2:] == (b"ab", True, False)
+        assert answers[-1][2:] == (b"ab", True, False, False)
         assert not any(answers[:-1])
     empty = HttpExchange(100)
     empty.request("GET", "/k", [(b"Host", b"h")])
