--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 
 import pytest
 import trio
@@ -103,6 +104,23 @@
     assert max(delays) < NOTIFIED_AFTER
 
 
+@pytest.mark.parametrize(("routers", "work"), [(3, 1.0), (3, 1.6), (10, 0.35), (10, 0.5)])
+def test_a_change_soon_after_a_fast_service_became_slow_is_known_in_time(monkeypatch, routers, work):
+    """The polls that look overdue by the answers of before come all at once."""
+    delays = []
+
+    async def scene(pause: float, world: World, service: Service) -> None:
+        await trio.sleep(10.0 + random.Random(seed).uniform(0.0, 3.0))
+        service.work = work
+        await trio.sleep(pause)
+        delays.append(await world.delay_of_change(service, OLD, 25.0))
+
+    for seed in range(3):
+        for pause in (0.0, 3.0, 6.0, 12.0):
+            play(monkeypatch, partial(scene, pause), seed, routers=routers)
+    assert max(delays) < NOTIFIED_AFTER
+
+
 @pytest.mark.parametrize(("routers", "work"), [(3, 0.3), (3, 1.0), (10, 0.2)])
 def test_a_silent_watch_of_a_service_that_answers_in_turn_is_noticed_in_time(monkeypatch, routers, work):
     options = {"routers": routers, "work": work, "is_silent": True}
